--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -55,7 +55,6 @@
         for (job, part) in self.active_chunks(|b| b == id) {
             self.chunk_changed(&job, part);
         }
-        self.gossip_due = true;
     }
 
     fn drop_block(&mut self, id: BlockId) {
@@ -68,13 +67,20 @@
         for task in tasks {
             self.drop_slot(&task);
         }
-        self.machines.retain(|_, m| m.block != id);
+        let names = self.machines.iter().filter(|(_, m)| m.block == id);
+        let names: Vec<_> = names.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.machines.remove(&name);
+            self.touch(&name);
+        }
         self.held.remove(&id);
     }
 
     /// A machine's record has come or gone.
     pub(crate) fn machine_changed(&mut self, name: &str) {
         self.follow_machine(name);
+        self.touch(name);
+        self.room_changed(name);
         // Also when the block is another controller's: a worker that waits for
         // its place has to be sent there at once, not when its report is late.
         self.machines_reported(name);
@@ -213,7 +219,6 @@
             machine.proven = true;
             // Answers of earlier holders renew nothing from here on.
             machine.renewed = machine.renewed.max(Some(now));
-            self.gossip_due = true;
         }
         let proven = machine.proven;
         let gone: Vec<TaskId> = if new_session && !first {
@@ -251,12 +256,12 @@
                 machine.idle_since = None;
             } else if machine.idle_since.is_none() {
                 machine.idle_since = Some(now);
-                self.gossip_due = true;
             }
             if !machine.tasks.is_empty() {
-                self.to_order.insert(name);
+                self.to_order.insert(name.clone());
             }
         }
+        self.touch(&name);
         true
     }
 
@@ -311,7 +316,6 @@
                 if entry.state == TaskState::Running && !bound.running {
                     bound.running = true;
                     log::debug!("{task}: runs on {name}");
-                    self.gossip_due = true;
                 }
             }
             return;
@@ -502,6 +506,6 @@
             self.free(&task, Duration::ZERO);
         }
         self.find_lost(block);
-        self.gossip_due = true;
+        self.touch(name);
     }
 }
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -89,7 +89,6 @@
                     }
                     let types = types.types.into_iter();
                     self.types = types.map(|t| (t.name.clone(), t)).collect();
-                    self.gossip_due = true;
                 }
             }
             CloudCall::List => {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -20,9 +20,10 @@
     fleet::Fleet,
     leader::Leader,
     machine::Machine,
-    peers::PeerState,
+    peers::{Link, PeerState},
     recorder::Busy,
     records::{BlockId, Key},
+    seen::Own,
     slots::Slot,
     store::{Outcome, Purpose, Store},
     tuning::Tuning,
@@ -82,7 +83,7 @@
         starts: Vec<(TaskId, u64)>,
         term: u64,
     },
-    Peer,
+    Peer(String, u64),
 }
 
 /// One controller.
@@ -115,8 +116,12 @@
     pub(crate) to_order: BTreeSet<String>,
     pub(crate) attempts: u64,
     pub(crate) peers: BTreeMap<String, PeerState>,
-    pub(crate) gossip_at: Duration,
-    pub(crate) gossip_due: bool,
+    /// What we have told the peers.
+    pub(crate) links: BTreeMap<String, Link>,
+    /// Our machines as we tell of them.
+    pub(crate) own: Own,
+    /// Tasks of held blocks that are done or given back and not recorded yet.
+    pub(crate) over: BTreeSet<TaskId>,
     pub(crate) leader: Option<Leader>,
     pub(crate) fleet: Fleet,
     /// Machines that the leader wants emptied.
@@ -132,6 +137,8 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let tuning = Tuning::new(&settings);
+        let peers = settings.peers.iter();
+        let links = peers.map(|p| (p.node.clone(), Link::default())).collect();
         Self {
             incarnation: rng.u64(1..1 << 53),
             store: Store::new(&settings),
@@ -156,8 +163,9 @@
             to_order: BTreeSet::new(),
             attempts: 0,
             peers: BTreeMap::new(),
-            gossip_at: Duration::ZERO,
-            gossip_due: false,
+            links,
+            own: Own::default(),
+            over: BTreeSet::new(),
             leader: None,
             draining: BTreeSet::new(),
             #[cfg(feature = "sabotage")]
@@ -189,13 +197,13 @@
         self.blocks_tick();
         self.cloud_tick();
         self.leader_tick();
-        self.peers_tick();
     }
 
     /// What every input may have made possible.
     fn settle(&mut self) {
         self.place();
         self.record();
+        self.refresh_own();
         self.hand_out();
         self.send_orders();
         self.gossip();
@@ -224,10 +232,7 @@
             (Side::Public, (Some("checkin"), None, ..), Method::Post) => self.report(conn, &body),
             (Side::Internal, (Some("peer"), None, ..), Method::Post) => {
                 match borsh::from_slice::<PeerMessage>(&body) {
-                    Ok(message) => {
-                        self.answer(conn, 200, Vec::new());
-                        self.hear(message);
-                    }
+                    Ok(message) => self.hear(conn, message),
                     Err(_) => self.refuse(conn, 400, "not a message of this version"),
                 }
             }
@@ -261,7 +266,7 @@
                 starts,
                 term,
             } => self.orders_done(&machine, &starts, term, &reply),
-            Pending::Peer => {}
+            Pending::Peer(peer, version) => self.told(&peer, version, &reply),
         }
     }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,7 +1,11 @@
 //! The fleet follows the queue: the leader rents what waiting work needs and
 //! returns what stands idle, fails, never boots or is gone.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use oliveshift_policy::fleet::{Coming, Offer, Want, count_on, to_rent};
 use oliveshift_wire::{
@@ -11,7 +15,7 @@
     settings::Settings,
 };
 
-use crate::{budget::Budget, call::Method, cloud::CloudCall, controller::Controller};
+use crate::{budget::Budget, call::Method, cloud::CloudCall, controller::Controller, rooms::Room};
 
 /// How often the leader reads the cloud's list.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
@@ -27,6 +31,10 @@
 /// lease is over.
 const EARLY_SPAN: Duration = Duration::from_secs(60);
 const EARLY_SHARE: usize = 8;
+/// How often the leader looks for machines to return.
+const RETURNS_PERIOD: Duration = Duration::from_millis(250);
+/// Of the idle machines, one in so many is returned at a time.
+const IDLE_SHARE: usize = 8;
 /// Most machines in one call to return.
 const RETURN_MOST: usize = 50;
 
@@ -35,8 +43,6 @@
 pub(crate) struct Fleet {
     pub budget: Budget,
     pub types_at: Duration,
-    /// When all peers last heard from us.
-    pub told_all: Duration,
     list_at: Duration,
     listing: bool,
     page: Vec<Listed>,
@@ -51,10 +57,6 @@
     closed: BTreeMap<Offer, Duration>,
     claims: u64,
     wants: Vec<Want>,
-    /// Room that running work is about to leave.
-    freeing: Vec<Coming>,
-    /// Free room on machines that are up.
-    rooms: Vec<(String, Coming)>,
     /// Jobs of late.
     noted: BTreeMap<JobId, (Duration, Rc<JobSpec>)>,
     wanting_since: Option<Duration>,
@@ -67,6 +69,7 @@
     gone: BTreeMap<String, Duration>,
     lag: Duration,
     rent_at: Duration,
+    returns_at: Duration,
 }
 
 impl Fleet {
@@ -78,7 +81,6 @@
         Self {
             budget: Budget::new(limits.rps * share, 1.0),
             types_at: Duration::ZERO,
-            told_all: Duration::ZERO,
             list_at: Duration::ZERO,
             listing: false,
             page: Vec::new(),
@@ -89,8 +91,7 @@
             closed: BTreeMap::new(),
             claims: 0,
             wants: Vec::new(),
-            freeing: Vec::new(),
-            rooms: Vec::new(),
+            returns_at: Duration::ZERO,
             noted: BTreeMap::new(),
             wanting_since: None,
             leaving: BTreeMap::new(),
@@ -116,15 +117,7 @@
     }
 
     /// Takes the plan's wants.
-    pub fn note_plan(
-        &mut self,
-        now: Duration,
-        wants: Vec<Want>,
-        freeing: Vec<Coming>,
-        rooms: Vec<(String, Coming)>,
-    ) {
-        self.freeing = freeing;
-        self.rooms = rooms;
+    pub fn note_plan(&mut self, now: Duration, wants: Vec<Want>) {
         if wants.is_empty() {
             self.wanting_since = None;
         } else if self.wanting_since.is_none() {
@@ -265,10 +258,18 @@
         wants
     }
 
+    fn usable_rooms(&self) -> impl Iterator<Item = &Room> {
+        let rooms = self.leader.iter().flat_map(|l| &l.rooms.list);
+        rooms.filter(|r| r.usable && !r.closed)
+    }
+
     /// Whether the reserve has room without one machine.
-    fn spares(&self, without: &str, reserve: &[Want]) -> bool {
-        let others = self.fleet.rooms.iter().filter(|(n, _)| n != without);
-        let mut rooms: Vec<_> = others.map(|(_, c)| c.clone()).collect();
+    fn spares(&self, without: &[String], reserve: &[Want]) -> bool {
+        if reserve.is_empty() {
+            return true;
+        }
+        let others = self.usable_rooms().filter(|r| !without.contains(&r.name));
+        let mut rooms: Vec<_> = others.map(Room::coming).collect();
         reserve.iter().all(|want| count_on(want, &mut rooms) == 0)
     }
 
@@ -311,18 +312,19 @@
             return;
         }
         self.fleet.rent_at = now + Duration::from_millis(500);
-        let mut coming = self.fleet.freeing.clone();
-        coming.extend(self.coming());
+        let usable = self.usable_rooms().map(Room::coming_with_ending);
+        let mut coming: Vec<_> = usable.chain(self.coming()).collect();
         let types: Vec<_> = self.types.values().cloned().collect();
         let closed = |offer: &Offer| self.fleet.closed.contains_key(offer);
-        let load = |zone: &str| {
-            let all = self.view.machines.values();
-            all.filter(|m| m.record.zone == zone).count() as u32
-        };
+        let mut loads: BTreeMap<&str, u32> = BTreeMap::new();
+        for machine in self.view.machines.values() {
+            *loads.entry(&machine.record.zone).or_default() += 1;
+        }
+        let load = |zone: &str| loads.get(zone).copied().unwrap_or(0);
         let wants = self.fleet.wants.clone();
         let most = self.tuning.rent_burst;
         let mut offers = to_rent(&wants, &mut coming, &types, closed, load, most);
-        let present = self.fleet.rooms.iter().map(|(_, c)| c.clone());
+        let present = self.usable_rooms().map(Room::coming);
         let mut coming: Vec<_> = present.chain(self.coming()).collect();
         coming.extend(offers.iter().filter_map(|offer| {
             let free = self.types.get(&offer.kind)?.amounts();
@@ -402,14 +404,16 @@
         log::info!("{name}: returned: {why}");
         self.fleet.leaving.insert(name.to_owned(), false);
         self.draining.insert(name.to_owned());
+        self.drain_changed(name);
     }
 
     /// Decides which machines go back.
     fn choose_returns(&mut self) {
         let now = self.now;
-        let Some(list_age) = self.fleet.list_age else {
+        let Some(list_age) = self.fleet.list_age.filter(|_| now >= self.fleet.returns_at) else {
             return;
         };
+        self.fleet.returns_at = now + RETURNS_PERIOD;
         let mut returns: Vec<(String, &str)> = Vec::new();
         for (name, machine) in &self.fleet.list {
             let registered = self.view.machines.contains_key(name);
@@ -429,14 +433,14 @@
         let wanting = !self.fleet.wants.is_empty();
         let mut idle = Vec::new();
         let mut early = Vec::new();
-        for (name, machine) in &self.view.machines {
-            let Some(block) = self.view.blocks.get(&machine.record.block) else {
-                continue;
-            };
-            let Some(seen) = self.seen(name, block) else {
+        for room in self.leader.iter().flat_map(|l| &l.rooms.list) {
+            let name = &room.name;
+            if !room.fresh {
                 continue;
-            };
-            let silent = Duration::from_millis(seen.silent_ms);
+            }
+            let silent = room
+                .silent_since
+                .map_or(Duration::ZERO, |at| now.saturating_sub(at));
             let lost = self.settings.lease_limit() + Duration::from_secs(2);
             // A list begun after the machine fell silent, lag included, that
             // does not have it: it is gone, and returning it proves that.
@@ -449,18 +453,18 @@
             }
             if silent > lost {
                 returns.push((name.clone(), "it is silent"));
-            } else if silent > self.silence_limit() * 3 / 2 && !seen.tasks.is_empty() {
+            } else if silent > self.silence_limit() * 3 / 2 && !room.tasks.is_empty() {
                 early.push(name.clone());
             } else if unlisted {
                 returns.push((name.clone(), "it is gone"));
-            } else if seen.faulty {
+            } else if room.faulty {
                 returns.push((name.clone(), "its tasks fail"));
-            } else if let Some(ms) = seen.idle_ms
-                && Duration::from_millis(ms) > self.idle_limit(machine.record.spot)
+            } else if let Some(since) = room.idle_since
+                && now.saturating_sub(since) > self.idle_limit(room.spot)
                 && !wanting
-                && seen.usable
+                && room.usable
             {
-                idle.push((ms, name.clone()));
+                idle.push((now.saturating_sub(since), name.clone()));
             }
         }
         // Once a machine is back with the cloud, its tasks can start elsewhere
@@ -477,22 +481,32 @@
         for (name, why) in returns {
             self.return_machine(&name, why);
         }
-        // The longest idle first, and one at a time, as the others may be
+        // The longest idle first, and few at a time, as the others may be
         // needed the more for it.
         idle.sort();
         let reserve = self.reserve();
-        let spare = idle
-            .into_iter()
-            .rev()
-            .find(|(_, n)| self.spares(n, &reserve));
-        if let Some((_, name)) = spare {
-            let planned = self
-                .leader
-                .as_ref()
-                .is_some_and(|l| l.planned.values().any(|m| *m == name));
-            if !planned {
-                self.return_machine(&name, "it is idle");
+        let planned: BTreeSet<_> = self
+            .leader
+            .iter()
+            .flat_map(|l| l.planned.values())
+            .collect();
+        let most = idle.len() / IDLE_SHARE + 1;
+        let mut spare: Vec<String> = Vec::new();
+        for (_, name) in idle.into_iter().rev() {
+            if spare.len() >= most {
+                break;
             }
+            if planned.contains(&name) {
+                continue;
+            }
+            spare.push(name);
+            if !self.spares(&spare, &reserve) {
+                spare.pop();
+                break;
+            }
+        }
+        for name in spare {
+            self.return_machine(&name, "it is idle");
         }
     }
 
@@ -523,6 +537,7 @@
                 self.fleet.list.remove(&name);
                 self.fleet.fresh.remove(&name);
                 self.draining.remove(&name);
+                self.drain_changed(&name);
                 self.fleet.gone.insert(name, now);
             } else if let Some(sent) = self.fleet.leaving.get_mut(&name) {
                 *sent = false;
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -5,16 +5,17 @@
 //! whose write may still take effect.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashSet},
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
 
 use oliveshift_policy::{
-    Candidate, Task,
-    fleet::{Coming, Offer, Want, how_many},
+    Candidate, Task, Weights,
+    fleet::{Want, how_many},
     queue::{Rank, may_preempt},
-    score::{fits, minus, plus, score},
+    score::{fits, plus, score},
 };
 use oliveshift_wire::{
     JobId, TaskId,
@@ -24,32 +25,22 @@
 
 use crate::{
     controller::Controller,
-    records::{BlockId, ChunkRecord, Key, Phase, Place, Term, to_value},
+    records::{BlockId, ChunkRecord, Key, Phase, Place, to_value},
+    rooms::{Room, Rooms},
     store::Urgency,
     view::{Chunk, Job},
 };
 
 /// The least time between two plans.
 const PLAN_GAP: Duration = Duration::from_millis(40);
+/// What each machine adds to it: a plan costs time.
+const PLAN_GAP_EACH: Duration = Duration::from_micros(100);
 /// The time after which a plan is made even without news.
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
 /// How long a task that was asked to make room is expected to do so.
 const ASKED: Duration = Duration::from_secs(8);
-
-/// Free room on a machine, as far as the leader can tell.
-#[derive(Clone, Debug)]
-struct Room {
-    name: String,
-    block: BlockId,
-    term: Term,
-    zone: String,
-    kind: String,
-    spot: bool,
-    usable: bool,
-    candidate: Candidate,
-    images: Vec<String>,
-    tasks: Vec<TaskId>,
-}
+/// How often a plan may look through all machines for work to stop.
+const MOST_SEARCHES: u32 = 12;
 
 /// A job in the queue.
 struct Queued {
@@ -60,44 +51,114 @@
 
 /// A plan in the making.
 struct Plan {
-    rooms: Vec<Room>,
+    rooms: Rooms,
     used: BTreeMap<String, Amounts>,
     borrowed: HashSet<JobId>,
     wants: Vec<Want>,
     /// Machine types kept for tasks that fit nowhere else and have waited.
     scarce: BTreeSet<String>,
+    /// Needs for which no machine has room: rooms only shrink in a plan, so
+    /// whoever needs the same need not look again.
+    full: HashSet<Need>,
+    /// How often machines were looked through for work to stop.
+    searches: u32,
 }
 
-impl Room {
-    fn takes(&self, spec: &JobSpec) -> bool {
-        self.usable
-            && spec.allows_type(&self.kind)
-            && spec.allows_zone(&self.zone)
-            && (spec.spot || !self.spot)
-    }
+/// What decides on which machines a task fits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Need {
+    amounts: [u64; 3],
+    spot: bool,
+    types: Option<Vec<String>>,
+    zone: Option<String>,
+    avoids: bool,
+}
 
-    fn cached(&self, spec: &JobSpec) -> f64 {
-        if self.images.contains(&spec.image) {
-            spec.image_gb
-        } else {
-            0.0
+impl Need {
+    fn new(spec: &JobSpec, avoids: bool) -> Self {
+        let need = spec.amounts();
+        Self {
+            amounts: [need.cpus, need.gpus, need.memory_gb].map(f64::to_bits),
+            spot: spec.spot,
+            types: spec.types.clone(),
+            zone: spec.zone.clone(),
+            avoids,
         }
     }
+}
 
-    /// Its free room, for sizing the fleet.
-    fn coming(&self) -> Coming {
-        Coming {
-            offer: Offer {
-                kind: self.kind.clone(),
-                zone: self.zone.clone(),
-                spot: self.spot,
-            },
-            free: self.candidate.free,
+/// The machines that a task fits on, the top scorer first; of equals, the
+/// first by name. All tasks of a job score alike, so after each choice only
+/// the chosen machine has to be scored again.
+struct Ranking {
+    heap: BinaryHeap<Scored>,
+    task: Task,
+}
+
+struct Scored {
+    sum: f64,
+    at: usize,
+}
+
+impl Ord for Scored {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_sum = self.sum.total_cmp(&other.sum);
+        by_sum.then_with(|| other.at.cmp(&self.at))
+    }
+}
+
+impl PartialOrd for Scored {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Scored {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Scored {}
+
+impl Ranking {
+    fn new(rooms: &[Room], spec: &JobSpec, avoid: &BTreeSet<String>, weights: &Weights) -> Self {
+        let mut ranking = Self {
+            heap: BinaryHeap::new(),
+            task: Task::from(spec),
+        };
+        let all = rooms.iter().enumerate();
+        let open = all.filter(|(_, r)| {
+            fits(&ranking.task.need, &r.candidate.free) && r.takes(spec) && !avoid.contains(&r.kind)
+        });
+        let scored = open.filter_map(|(at, room)| ranking.rate(at, room, spec, weights));
+        ranking.heap = scored.collect();
+        ranking
+    }
+
+    fn rate(&self, at: usize, room: &Room, spec: &JobSpec, weights: &Weights) -> Option<Scored> {
+        let candidate = Candidate {
+            cached_gb: room.cached(spec),
+            ..room.candidate.clone()
+        };
+        let sum = score(&self.task, &candidate, weights)?;
+        Some(Scored { sum, at })
+    }
+
+    /// The top scorer in a zone that is still open. Zones only close.
+    fn top(&mut self, rooms: &[Room], zone_ok: impl Fn(&str) -> bool) -> Option<usize> {
+        while let Some(Scored { at, .. }) = self.heap.pop() {
+            if zone_ok(&rooms[at].zone) {
+                return Some(at);
+            }
         }
+        None
     }
 
-    fn take(&mut self, need: &Amounts) {
-        self.candidate.free = minus(&self.candidate.free, need);
+    /// A task went there.
+    fn rescore(&mut self, at: usize, room: &Room, spec: &JobSpec, weights: &Weights) {
+        let scored = self.rate(at, room, spec, weights);
+        self.heap.extend(scored);
     }
 }
 
@@ -110,113 +171,51 @@
             return;
         };
         let due = leader.plan_due || now >= leader.plan_at + PLAN_PERIOD;
-        if !due || now < leader.plan_at + PLAN_GAP || !contact {
+        let gap = PLAN_GAP + PLAN_GAP_EACH * leader.rooms.list.len() as u32;
+        if !due || now < leader.plan_at + gap || !contact {
             return;
         }
         leader.plan_due = false;
         leader.plan_at = now;
         leader.asked.retain(|_, at| now < *at + ASKED);
         let mut plan = Plan {
-            rooms: self.rooms(),
+            rooms: std::mem::take(&mut leader.rooms),
             used: BTreeMap::new(),
             borrowed: HashSet::new(),
             wants: Vec::new(),
             scarce: BTreeSet::new(),
+            full: HashSet::new(),
+            searches: 0,
         };
+        self.refresh_rooms(&mut plan.rooms);
+        for room in &mut plan.rooms.list {
+            room.candidate.free = room.free;
+            room.candidate.kept = room.kept;
+            room.closed = false;
+        }
         self.count_used(&mut plan);
         let queue = self.queue(&mut plan);
         plan.scarce = self.scarce(&queue);
         for queued in queue {
             self.hand_job(&mut plan, &queued);
         }
-        let freeing = self.freeing(&plan.rooms);
-        let rooms = plan.rooms.iter().filter(|r| r.usable);
-        let rooms = rooms.map(|r| (r.name.clone(), r.coming())).collect();
-        self.fleet.note_plan(now, plan.wants, freeing, rooms);
-    }
-
-    /// All machines, with what the leader last heard of their free room.
-    fn rooms(&self) -> Vec<Room> {
-        let mut rooms = Vec::new();
-        for (name, machine) in &self.view.machines {
-            let record = &machine.record;
-            let Some(block) = self.view.blocks.get(&record.block) else {
-                continue;
-            };
-            let Some(kind) = self.types.get(&record.kind) else {
-                continue;
-            };
-            let Some(seen) = self.seen(name, block) else {
-                continue;
-            };
-            let [cpus, gpus, memory_gb] = seen.free;
-            let tasks = seen.tasks.iter().filter_map(|(t, _)| t.parse().ok());
-            let tasks: Vec<TaskId> = tasks.collect();
-            rooms.push(Room {
-                name: name.clone(),
-                block: record.block,
-                term: block.version,
-                zone: record.zone.clone(),
-                kind: record.kind.clone(),
-                spot: record.spot,
-                usable: seen.usable && !self.draining.contains(name),
-                candidate: Candidate {
-                    total: kind.amounts(),
-                    free: Amounts {
-                        cpus,
-                        gpus,
-                        memory_gb,
-                    },
-                    cached_gb: 0.0,
-                    spot: record.spot,
-                    kept: self.kept(tasks.iter()) / kind.cpus.max(f64::MIN_POSITIVE),
-                },
-                images: seen.images,
-                tasks,
-            });
+        self.fleet.note_plan(now, plan.wants);
+        if let Some(leader) = &mut self.leader {
+            leader.rooms = plan.rooms;
         }
-        rooms
-    }
-
-    /// Room that running work is expected to leave before a machine rented now
-    /// would be up: what can go there need not be rented for.
-    fn freeing(&self, rooms: &[Room]) -> Vec<Coming> {
-        let horizon = self.tuning.rent_horizon * self.shortest_boot_s();
-        let usable = rooms.iter().filter(|r| r.usable);
-        let room = |r: &Room| {
-            let mut coming = r.coming();
-            let free = &mut coming.free;
-            for task in &r.tasks {
-                let job = self.view.jobs.get(&task.job);
-                let spec = job.and_then(|j| j.spec.as_ref());
-                let ends = spec.filter(|s| s.shape != Shape::Service);
-                if let Some(spec) = ends {
-                    let part = (horizon / spec.estimate_s.max(1.0)).min(1.0);
-                    free.cpus += spec.cpus * part;
-                    free.gpus += spec.gpus * part;
-                    free.memory_gb += spec.memory_gb * part;
-                }
-            }
-            coming
-        };
-        usable.map(room).collect()
     }
 
     /// Counts what teams use, and takes room for tasks that are handed but on
     /// no machine yet.
     fn count_used(&mut self, plan: &mut Plan) {
-        let bound: HashSet<TaskId> = plan
-            .rooms
-            .iter()
-            .flat_map(|r| r.tasks.iter().cloned())
-            .collect();
-        let mut unbound: Vec<(TaskId, BlockId, Amounts)> = Vec::new();
+        let over = self.peers.values().flat_map(|p| &p.over);
+        let over: HashSet<&TaskId> = over.chain(&self.over).collect();
+        let mut unbound: Vec<(TaskId, BlockId, Rc<JobSpec>)> = Vec::new();
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else {
                 continue;
             };
             let Some(spec) = &job.spec else { continue };
-            let need = spec.amounts();
             let mut count = 0;
             if !job.handed.is_empty() {
                 for (part, chunk) in &job.chunks {
@@ -225,8 +224,8 @@
                         if let Place::Handed { block, .. } = place {
                             count += 1;
                             let task = id.task(first + i as u32);
-                            if !bound.contains(&task) {
-                                unbound.push((task, *block, need));
+                            if !plan.rooms.has(&task) && !over.contains(&task) {
+                                unbound.push((task, *block, spec.clone()));
                             }
                         }
                     }
@@ -234,32 +233,42 @@
             }
             for (index, block) in self.in_doubt(id, job) {
                 count += 1;
-                unbound.push((id.task(index), block, need));
+                unbound.push((id.task(index), block, spec.clone()));
             }
             let used = plan.used.entry(spec.team.clone()).or_default();
+            let need = spec.amounts();
             for _ in 0..count {
                 *used = plus(used, &need);
             }
         }
-        let planned = self.leader.as_mut().map(|l| &mut l.planned);
-        if let Some(planned) = planned {
-            let keep: HashSet<_> = unbound.iter().map(|(t, ..)| t).collect();
-            planned.retain(|task, _| keep.contains(task));
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let mut by_block: HashMap<BlockId, Vec<usize>> = HashMap::new();
+        if !unbound.is_empty() {
+            for (at, room) in plan.rooms.list.iter().enumerate() {
+                by_block.entry(room.block).or_default().push(at);
+            }
         }
-        for (task, block, need) in unbound {
-            let on = self.leader.as_ref().and_then(|l| l.planned.get(&task));
-            let rooms = plan.rooms.iter_mut().filter(|r| r.block == block);
-            let room = rooms.min_by_key(|r| {
-                (
-                    Some(&r.name) != on,
-                    !fits(&need, &r.candidate.free),
-                    r.name.clone(),
-                )
+        let mut planned = BTreeMap::new();
+        for (task, block, spec) in unbound {
+            let name = leader.planned.remove(&task);
+            let at = name.as_ref().and_then(|name| plan.rooms.find(name));
+            let at = at.filter(|at| plan.rooms.list[*at].block == block);
+            let need = spec.amounts();
+            let at = at.or_else(|| {
+                let all = by_block.get(&block)?;
+                let fitting = |at: &&usize| fits(&need, &plan.rooms.list[**at].candidate.free);
+                all.iter().find(fitting).or_else(|| all.first()).copied()
             });
-            if let Some(room) = room {
-                room.take(&need);
+            if let Some(at) = at {
+                plan.rooms.list[at].take(&spec);
+            }
+            if let Some(name) = name {
+                planned.insert(task, name);
             }
         }
+        leader.planned = planned;
     }
 
     /// Tasks whose hand-out may have taken effect without the view showing it.
@@ -401,7 +410,13 @@
             // The rest of it is still on machines; it starts as a whole.
             return;
         }
-        let before = gang.then(|| (plan.rooms.clone(), plan.used.clone()));
+        let before = gang.then(|| {
+            let rooms = plan.rooms.list.iter();
+            let rooms: Vec<_> = rooms.map(|r| r.candidate.clone()).collect();
+            (rooms, plan.used.clone())
+        });
+        let signature = Need::new(&spec, !avoid.is_empty());
+        let mut ranking = None;
         let mut parts: Vec<(u32, Vec<(u32, usize)>)> = Vec::new();
         let mut full = false;
         let mut limited = false;
@@ -432,18 +447,28 @@
                     in_zone.get(zone).copied().unwrap_or(0) < cap
                         && only.as_deref().is_none_or(|z| z == zone)
                 };
-                let Some(at) = self.best_room(plan, &spec, &avoid, zone_ok) else {
+                let weights = &self.tuning.weights;
+                let ranking = ranking.get_or_insert_with(|| {
+                    if plan.full.contains(&signature) {
+                        Ranking::new(&[], &spec, &avoid, weights)
+                    } else {
+                        let ranking = Ranking::new(&plan.rooms.list, &spec, &avoid, weights);
+                        if ranking.heap.is_empty() {
+                            plan.full.insert(signature.clone());
+                        }
+                        ranking
+                    }
+                });
+                let Some(at) = ranking.top(&plan.rooms.list, zone_ok) else {
                     full = true;
                     break;
                 };
                 if let Some(used) = plan.used.get_mut(&spec.team) {
                     *used = more;
                 }
-                let room = &mut plan.rooms[at];
-                room.take(&need);
-                if spec.shape == Shape::Service {
-                    room.candidate.kept += need.cpus / room.candidate.total.cpus;
-                }
+                let room = &mut plan.rooms.list[at];
+                room.take(&spec);
+                ranking.rescore(at, room, &spec, weights);
                 *in_zone.entry(room.zone.clone()).or_default() += 1;
                 tasks.push((index, at));
                 left -= 1;
@@ -455,7 +480,10 @@
         if let Some((rooms, used)) = before
             && left > 0
         {
-            (plan.rooms, plan.used) = (rooms, used);
+            for (room, candidate) in plan.rooms.list.iter_mut().zip(rooms) {
+                room.candidate = candidate;
+            }
+            plan.used = used;
             parts.clear();
             left = job.waiting();
         }
@@ -500,33 +528,6 @@
         }
     }
 
-    /// The top scorer among the machines with room.
-    fn best_room(
-        &self,
-        plan: &Plan,
-        spec: &JobSpec,
-        avoid: &BTreeSet<String>,
-        zone_ok: impl Fn(&str) -> bool,
-    ) -> Option<usize> {
-        let task = Task::from(spec);
-        let mut top: Option<(f64, usize)> = None;
-        for (at, room) in plan.rooms.iter().enumerate() {
-            if !room.takes(spec) || !zone_ok(&room.zone) || avoid.contains(&room.kind) {
-                continue;
-            }
-            let candidate = Candidate {
-                cached_gb: room.cached(spec),
-                ..room.candidate.clone()
-            };
-            if let Some(sum) = score(&task, &candidate, &self.tuning.weights)
-                && top.is_none_or(|(most, _)| sum > most)
-            {
-                top = Some((sum, at));
-            }
-        }
-        top.map(|(_, at)| at)
-    }
-
     /// Hands tasks of one chunk out, by one conditional write.
     fn hand_chunk(&mut self, plan: &Plan, id: &JobId, part: u32, tasks: &[(u32, usize)]) {
         let Some(lead) = self.leader_cond() else {
@@ -555,7 +556,7 @@
         let mut blocks = BTreeSet::new();
         let mut handed = Vec::new();
         for (index, at) in tasks {
-            let room = &plan.rooms[*at];
+            let room = &plan.rooms.list[*at];
             let (block, term) = (room.block, room.term);
             if let Some(place) = places.get_mut((index - first) as usize) {
                 *place = Place::Handed { block, term };
@@ -582,7 +583,7 @@
         }
         for (index, at) in tasks {
             let task = id.task(*index);
-            let machine = plan.rooms[*at].name.clone();
+            let machine = plan.rooms.list[*at].name.clone();
             log::debug!("{task}: planned for {machine}");
             if let Some(leader) = &mut self.leader {
                 leader.planned.insert(task, machine);
@@ -603,13 +604,18 @@
         if idle || (spec.priority != Priority::Production && !queued.guaranteed) {
             return;
         }
+        if plan.searches >= MOST_SEARCHES {
+            return;
+        }
+        plan.searches += 1;
         let now = self.now;
         let need = spec.amounts();
         let mut top: Option<(usize, usize, Vec<TaskId>)> = None;
-        for (at, room) in plan.rooms.iter().enumerate() {
-            if !room.takes(spec)
-                || !zones.contains(&room.zone)
+        for (at, room) in plan.rooms.list.iter().enumerate() {
+            if room.tasks.is_empty()
                 || !fits(&need, &room.candidate.total)
+                || !room.takes(spec)
+                || !zones.contains(&room.zone)
             {
                 continue;
             }
@@ -619,17 +625,20 @@
             let mut options: Vec<_> = room
                 .tasks
                 .iter()
-                .filter_map(|task| {
-                    let job = self.view.jobs.get(&task.job)?;
-                    let other = job.spec.as_ref()?;
+                .filter_map(|(task, other)| {
+                    let lower = spec.priority < other.priority;
+                    let may = lower
+                        || may_preempt(
+                            spec.priority,
+                            queued.guaranteed,
+                            other.priority,
+                            plan.borrowed.contains(&task.job),
+                            other.team == spec.team,
+                        );
+                    if !may {
+                        return None;
+                    }
                     let is_asked = self.leader.as_ref()?.asked.contains_key(task);
-                    let may = may_preempt(
-                        spec.priority,
-                        queued.guaranteed,
-                        other.priority,
-                        plan.borrowed.contains(&task.job),
-                        other.team == spec.team,
-                    );
                     // People wait for production: the quickest to stop goes
                     // first. Otherwise those that lose nothing do.
                     let lost = match (spec.priority, other.saves()) {
@@ -637,15 +646,8 @@
                         (Priority::Production, false) | (_, true) => Duration::ZERO,
                         (_, false) => Duration::from_secs(1),
                     };
-                    may.then(|| {
-                        (
-                            !is_asked,
-                            std::cmp::Reverse(other.priority),
-                            lost,
-                            task,
-                            other,
-                        )
-                    })
+                    let priority = std::cmp::Reverse(other.priority);
+                    Some((!is_asked, priority, lost, task, other))
                 })
                 .collect();
             options.sort_by(|a, b| (a.0, a.1, a.2, a.3).cmp(&(b.0, b.1, b.2, b.3)));
@@ -669,19 +671,17 @@
         }
         let Some((_, at, victims)) = top else { return };
         // Nothing else of this plan goes there.
-        plan.rooms[at].usable = false;
+        plan.rooms.list[at].closed = true;
         for task in victims {
             log::info!(
                 "{task}: to make room on {} for {}",
-                plan.rooms[at].name,
+                plan.rooms.list[at].name,
                 queued.id
             );
             if let Some(leader) = &mut self.leader {
                 leader.asked.insert(task.clone(), now);
-                leader.preempt.push(task.clone());
             }
-            self.preempt(&task);
-            self.gossip_due = true;
+            self.ask_for_room(&task);
         }
     }
 }
@@ -696,7 +696,7 @@
 /// The zone in which most of a job's tasks have room.
 fn roomiest_zone(plan: &Plan, spec: &JobSpec) -> Option<String> {
     let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-    for room in plan.rooms.iter().filter(|r| r.takes(spec)) {
+    for room in plan.rooms.list.iter().filter(|r| r.takes(spec)) {
         let n = how_many(&spec.amounts(), &room.candidate.free).min(spec.tasks);
         let sum = zones.entry(&room.zone).or_default();
         *sum = sum.saturating_add(n);
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -16,6 +16,7 @@
     controller::Controller,
     recorder::put_job,
     records::{BlockId, BlockRecord, Key, MachineRecord, Phase, to_value},
+    rooms::Rooms,
     store::{Outcome, Purpose, Urgency},
 };
 
@@ -52,8 +53,8 @@
     reports: Vec<(ConnId, Report, Duration)>,
     /// Since when each controller is up.
     up: BTreeMap<String, (u64, Duration)>,
-    /// Tasks to be stopped, for the next message to the others.
-    pub preempt: Vec<TaskId>,
+    /// All machines as last seen.
+    pub rooms: Rooms,
     /// When each task was last asked to make room.
     pub asked: BTreeMap<TaskId, Duration>,
     /// The machine on which each task was counted at hand-out.
@@ -90,7 +91,7 @@
                     duties: BTreeMap::new(),
                     reports: Vec::new(),
                     up: BTreeMap::new(),
-                    preempt: Vec::new(),
+                    rooms: Rooms::default(),
                     asked: BTreeMap::new(),
                     planned: BTreeMap::new(),
                     tidy_at: self.now,
@@ -164,7 +165,7 @@
         if !self.in_contact() {
             return;
         }
-        self.lease_blocks();
+        self.lease_blocks(tidy);
         self.register_machines();
         if tidy {
             self.tidy();
@@ -198,7 +199,7 @@
 
     /// Leases blocks whose holder is gone, and moves at most one at a time to
     /// a holder that suits it better.
-    fn lease_blocks(&mut self) {
+    fn lease_blocks(&mut self, may_move: bool) {
         let orphans: Vec<_> = self
             .view
             .blocks
@@ -207,10 +208,16 @@
             .map(|(id, b)| (*id, b.version, b.record.zone.clone()))
             .collect();
         if orphans.is_empty() {
-            self.move_a_block();
+            if may_move {
+                self.move_a_block();
+            }
+            return;
         }
+        let mut loads = self.loads();
         for (id, version, zone) in orphans {
-            if let Some(holder) = self.best_holder(&zone) {
+            if let Some(holder) = self.best_holder(&zone, &loads) {
+                let size = self.view.in_block.get(&id).map_or(0, BTreeSet::len) + 1;
+                *loads.entry(holder.clone()).or_default() += size;
                 self.lease_block(id, version, zone, &holder);
             }
         }
@@ -249,20 +256,24 @@
     }
 
     /// How many machines each controller holds.
-    fn load_of(&self, node: &str) -> usize {
-        let blocks = self.view.blocks.iter();
-        blocks
-            .filter(|(_, b)| b.record.holder == node && self.view.holder_is_up(&b.record))
-            .map(|(id, _)| self.view.in_block.get(id).map_or(0, BTreeSet::len) + 1)
-            .sum()
+    fn loads(&self) -> BTreeMap<String, usize> {
+        let mut loads = BTreeMap::new();
+        for (id, block) in &self.view.blocks {
+            if self.view.holder_is_up(&block.record) {
+                let size = self.view.in_block.get(id).map_or(0, BTreeSet::len) + 1;
+                *loads.entry(block.record.holder.clone()).or_default() += size;
+            }
+        }
+        loads
     }
 
     /// The controller that a block of a zone suits best: one in that zone,
     /// then the one with the fewest machines.
-    fn best_holder(&self, zone: &str) -> Option<String> {
+    fn best_holder(&self, zone: &str, loads: &BTreeMap<String, usize>) -> Option<String> {
         let members = self.view.members.iter();
+        let load = |name: &String| loads.get(name).copied().unwrap_or(0);
         members
-            .min_by_key(|(name, m)| (m.record.zone != zone, self.load_of(name), *name))
+            .min_by_key(|(name, m)| (m.record.zone != zone, load(name), *name))
             .map(|(name, _)| name.clone())
     }
 
@@ -303,6 +314,8 @@
         &self,
         better: impl Fn(bool, bool, usize, usize) -> bool,
     ) -> Option<(BlockId, String)> {
+        let loads = self.loads();
+        let load_of = |name: &String| loads.get(name).copied().unwrap_or(0);
         self.view.blocks.iter().find_map(|(id, block)| {
             let holder = &block.record.holder;
             let near = |node: &str| {
@@ -310,9 +323,9 @@
                 member.is_some_and(|m| m.record.zone == block.record.zone)
             };
             let size = self.view.in_block.get(id).map_or(0, BTreeSet::len) + 1;
-            let load = self.load_of(holder);
+            let load = load_of(holder);
             let node = self.view.members.keys().find(|node| {
-                let gap = load.saturating_sub(self.load_of(node));
+                let gap = load.saturating_sub(load_of(node));
                 *node != holder && better(near(holder), near(node), gap, size)
             })?;
             Some((*id, node.clone()))
@@ -410,7 +423,7 @@
             return;
         }
         let id = blocks.max().map_or(0, |id| id + 1);
-        if let Some(holder) = self.best_holder(&zone) {
+        if let Some(holder) = self.best_holder(&zone, &self.loads()) {
             self.lease_block(id, 0, zone, &holder);
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,8 @@
 mod placement;
 mod recorder;
 pub mod records;
+mod rooms;
+mod seen;
 mod slots;
 mod store;
 mod tuning;
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -1,23 +1,14 @@
 //! What controllers tell each other: advice only.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
-use oliveshift_policy::score::minus;
-use oliveshift_wire::{
-    TaskId,
-    peer::{MachineView, PeerMessage},
-};
+use oliveshift_wire::{TaskId, peer::PeerMessage};
 
 use crate::{
-    call::{Method, Target},
+    call::{ConnId, Method, Reply, Target},
     controller::{Controller, Pending},
-    machine::Machine,
-    records::BlockRecord,
+    seen::Seen,
     slots::Stop,
-    view::Versioned,
 };
 
 /// How often everybody hears from us.
@@ -26,56 +17,114 @@
 const NEWS: Duration = Duration::from_millis(100);
 /// When to give a message up.
 const TIMEOUT: Duration = Duration::from_millis(800);
-/// After this, what a peer said no longer counts.
+/// After this, what a peer said no longer counts as recent.
 const STALE: Duration = Duration::from_millis(3500);
 
 /// What another controller has told us.
 #[derive(Debug)]
 pub(crate) struct PeerState {
-    pub heard: Duration,
+    incarnation: u64,
+    /// The version of its machines that we have.
+    upto: u64,
+    heard: Duration,
     /// When its contact with the state service was whole.
-    pub contact: Option<Duration>,
-    pub machines: BTreeMap<String, MachineView>,
+    contact: Option<Duration>,
+    pub machines: BTreeMap<String, Seen>,
+    /// Tasks that take no room any more, whatever the records say.
+    pub over: Vec<TaskId>,
+}
+
+impl PeerState {
+    /// Whether we heard from it lately.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard) < STALE
+    }
+}
+
+/// What we have told another controller.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    /// The version of our machines that it has.
+    acked: u64,
+    /// When we wrote last, and whether the answer is awaited.
+    at: Duration,
+    waiting: bool,
+    /// From the leader: what it has yet to be told at once.
+    preempt: Vec<TaskId>,
+    pub drain_due: bool,
 }
 
 impl Controller {
     /// Takes in what another controller says.
-    pub(crate) fn hear(&mut self, message: PeerMessage) {
+    pub(crate) fn hear(&mut self, conn: ConnId, message: PeerMessage) {
         let now = self.now;
         let known = self.settings.peers.iter().any(|p| p.node == message.from);
         if !known {
-            return;
+            return self.refuse(conn, 403, "not a controller of this deployment");
         }
         let leads = self.view.leader.as_ref().is_some_and(|l| {
             l.record.node == message.from && l.record.incarnation == message.incarnation
         });
         if leads {
-            self.draining = message.drain.into_iter().collect();
-            for task in message.preempt {
-                if let Ok(task) = task.parse::<TaskId>() {
-                    self.preempt(&task);
+            let drain = message.drain.into_iter().collect();
+            if self.draining != drain {
+                let before = std::mem::replace(&mut self.draining, drain);
+                for name in before.iter().chain(&self.draining.clone()) {
+                    self.touch(name);
                 }
             }
+            for task in &message.preempt {
+                self.preempt(task);
+            }
         }
         let contact = message
             .contact_ms
             .and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
-        let machines = message.machines.into_iter();
-        let state = PeerState {
+        let fresh = PeerState {
+            incarnation: message.incarnation,
+            upto: 0,
             heard: now,
-            contact,
-            machines: machines.map(|m| (m.name.clone(), m)).collect(),
+            contact: None,
+            machines: BTreeMap::new(),
+            over: Vec::new(),
         };
-        self.peers.insert(message.from, state);
-        if let Some(leader) = &mut self.leader {
-            leader.plan_due = true;
+        let peer = self.peers.entry(message.from).or_insert(fresh);
+        if peer.incarnation != message.incarnation {
+            peer.incarnation = message.incarnation;
+            peer.upto = 0;
+            // What its former life said of its machines stays until it is
+            // told anew: the next holder asks for the images.
+        }
+        peer.heard = now;
+        peer.contact = contact;
+        if message.base > peer.upto {
+            return self.refuse(conn, 409, "what came before is not known here");
+        }
+        if message.upto < peer.upto {
+            // Held up on its way: we know more by now.
+            return self.answer(conn, 200, Vec::new());
+        }
+        if message.base == 0 {
+            peer.machines.clear();
+        }
+        peer.upto = message.upto;
+        peer.over = message.over;
+        let mut changed = Vec::new();
+        for view in message.machines {
+            let (name, seen) = Seen::hear(now, view);
+            changed.push(name.clone());
+            peer.machines.insert(name, seen);
+        }
+        self.answer(conn, 200, Vec::new());
+        for name in &changed {
+            self.room_changed(name);
         }
     }
 
     /// Whether some peer can reach the state service while we can't.
     pub(crate) fn peers_have_contact(&self) -> bool {
         self.peers.values().any(|p| {
-            self.now.saturating_sub(p.heard) < STALE
+            p.is_fresh(self.now)
                 && p.contact
                     .is_some_and(|at| self.now.saturating_sub(at) < STALE)
         })
@@ -87,22 +136,6 @@
         heard.map(|m| m.images.clone()).unwrap_or_default()
     }
 
-    /// A machine as its holder sees it, whether that is us or a peer.
-    pub(crate) fn seen(&self, name: &str, block: &Versioned<BlockRecord>) -> Option<MachineView> {
-        let own = self.machines.get(name).map(|m| self.machine_view(name, m));
-        own.or_else(|| {
-            let holder = &block.record.holder;
-            self.heard_of(holder, name, block.version).cloned()
-        })
-    }
-
-    /// A peer's word on a machine, if it is recent and of the current term.
-    fn heard_of(&self, holder: &str, name: &str, term: u64) -> Option<&MachineView> {
-        let peer = self.peers.get(holder)?;
-        let fresh = self.now.saturating_sub(peer.heard) < STALE;
-        peer.machines.get(name).filter(|m| fresh && m.term == term)
-    }
-
     /// Stops a task to make room, with time to save.
     pub(crate) fn preempt(&mut self, task: &TaskId) {
         let Some(slot) = self.slots.get_mut(task) else {
@@ -129,81 +162,104 @@
         }
     }
 
-    pub(crate) fn peers_tick(&mut self) {
-        if self.now >= self.gossip_at + PERIOD {
-            self.gossip_due = true;
+    /// The leader wants a task stopped: whoever holds it hears of it.
+    pub(crate) fn ask_for_room(&mut self, task: &TaskId) {
+        for link in self.links.values_mut() {
+            link.preempt.push(task.clone());
         }
+        self.preempt(task);
+    }
+
+    /// The leader's list of machines to be emptied has changed.
+    pub(crate) fn drain_changed(&mut self, name: &str) {
+        for link in self.links.values_mut() {
+            link.drain_due = true;
+        }
+        self.touch(name);
+        self.room_changed(name);
     }
 
     /// Tells the others, when it is time or there is news for the leader.
     pub(crate) fn gossip(&mut self) {
-        if !self.gossip_due || self.now < self.gossip_at + NEWS || !self.store.ready {
+        let now = self.now;
+        if !self.store.ready {
             return;
         }
-        self.gossip_due = false;
-        self.gossip_at = self.now;
-        if let Some(leader) = &mut self.leader {
-            leader.plan_due = true;
-        }
         let leader = self.view.leader.as_ref().map(|l| l.record.node.clone());
-        let everybody = self.leader.is_some() || self.now >= self.fleet.told_all + PERIOD;
-        if everybody {
-            self.fleet.told_all = self.now;
+        let leads = self.leader.is_some();
+        let version = self.own.version;
+        let due = |peer: &str, link: &Link| {
+            let news = if leads {
+                !link.preempt.is_empty() || link.drain_due
+            } else {
+                leader.as_deref() == Some(peer) && link.acked < version
+            };
+            !link.waiting && now >= link.at + if news { NEWS } else { PERIOD }
+        };
+        let due: Vec<_> = self
+            .links
+            .iter()
+            .filter(|(peer, link)| due(peer, link))
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        for peer in due {
+            self.tell_peer(peer, leads, version);
         }
-        let preempt = self.leader.as_mut().map(|l| std::mem::take(&mut l.preempt));
-        let drain: BTreeSet<_> = match &self.leader {
-            Some(_) => self.draining.clone(),
-            None => BTreeSet::new(),
+    }
+
+    fn tell_peer(&mut self, peer: String, leads: bool, version: u64) {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&peer) else {
+            return;
         };
-        let machines = self.machines.iter();
+        link.at = now;
+        link.waiting = true;
+        link.drain_due = false;
+        let base = link.acked;
+        let preempt = std::mem::take(&mut link.preempt);
+        let machines = self.own.machines.iter();
+        let changed = machines.filter(|(_, (at, _))| *at > base);
         let message = PeerMessage {
             from: self.settings.node.clone(),
             incarnation: self.incarnation,
             contact_ms: self.contact_age().map(|a| a.as_millis() as u64),
-            machines: machines.map(|(n, m)| self.machine_view(n, m)).collect(),
-            drain: drain.into_iter().collect(),
-            preempt: preempt
-                .into_iter()
-                .flatten()
-                .map(|t| t.to_string())
-                .collect(),
+            base,
+            upto: version,
+            machines: changed.map(|(n, (_, seen))| seen.tell(now, n)).collect(),
+            over: self.over.iter().cloned().collect(),
+            drain: if leads {
+                self.draining.iter().cloned().collect()
+            } else {
+                Vec::new()
+            },
+            preempt,
         };
         // Writing into memory can't fail.
         let body = borsh::to_vec(&message).unwrap_or_default();
-        let peers: Vec<_> = self.settings.peers.iter().map(|p| p.node.clone()).collect();
-        for peer in peers {
-            if everybody || leader.as_ref() == Some(&peer) {
-                self.call(
-                    Target::Peer(peer),
-                    Method::Post,
-                    "/peer".into(),
-                    body.clone(),
-                    TIMEOUT,
-                    Pending::Peer,
-                );
-            }
-        }
+        self.call(
+            Target::Peer(peer.clone()),
+            Method::Post,
+            "/peer".into(),
+            body,
+            TIMEOUT,
+            Pending::Peer(peer, version),
+        );
     }
 
-    pub(crate) fn machine_view(&self, name: &str, machine: &Machine) -> MachineView {
-        let total = self.types.get(&machine.record.kind).map(|k| k.amounts());
-        let free = minus(&total.unwrap_or_default(), &self.used(machine));
-        let tasks = machine.bound.iter().map(|task| {
-            let bound = self.slots.get(task).and_then(|s| s.bound());
-            (task.to_string(), bound.is_some_and(|b| b.running))
-        });
-        let ms = |d: Duration| d.as_millis() as u64;
-        MachineView {
-            name: name.to_owned(),
-            term: machine.term,
-            usable: self.usable(name, machine),
-            faulty: machine.faulty(),
-            silent_ms: ms(machine.silent(self.now)),
-            idle_ms: machine.idle_since.map(|at| ms(self.now.saturating_sub(at))),
-            free: [free.cpus, free.gpus, free.memory_gb],
-            images: machine.images.iter().map(|(n, _)| n.clone()).collect(),
-            tasks: tasks.collect(),
-            notice_ms: machine.taken_at.map(|at| ms(at.saturating_sub(self.now))),
+    /// What came of a message to a peer.
+    pub(crate) fn told(&mut self, peer: &str, version: u64, reply: &Reply) {
+        let Some(link) = self.links.get_mut(peer) else {
+            return;
+        };
+        link.waiting = false;
+        match reply {
+            Reply::Answer { status: 200, .. } => link.acked = link.acked.max(version),
+            // It has begun anew, so it is told everything.
+            Reply::Answer { status: 409, .. } => {
+                link.acked = 0;
+                link.at = self.now.saturating_sub(PERIOD);
+            }
+            _ => {}
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/rooms.rs
@@ -0,0 +1,252 @@
+//! The leader's picture of all machines: kept from plan to plan and renewed
+//! machine by machine.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use oliveshift_policy::{
+    Candidate,
+    fleet::{Coming, Offer},
+    score::{minus, plus},
+};
+use oliveshift_wire::{
+    TaskId,
+    job::{Amounts, JobSpec, Shape},
+};
+
+use crate::{
+    controller::Controller,
+    records::{BlockId, Place, Term},
+    seen::Seen,
+};
+
+/// How often all machines are looked at, for what time alone changes.
+const PERIOD: Duration = Duration::from_millis(1000);
+
+/// A machine, as far as the leader can tell.
+#[derive(Clone, Debug)]
+pub(crate) struct Room {
+    pub name: String,
+    pub block: BlockId,
+    pub term: Term,
+    pub zone: String,
+    pub kind: String,
+    pub spot: bool,
+    /// Whether tasks can be placed on it.
+    pub usable: bool,
+    /// Whether its holder's word is recent.
+    pub fresh: bool,
+    pub faulty: bool,
+    pub silent_since: Option<Duration>,
+    pub idle_since: Option<Duration>,
+    /// What no task takes, and the share that services take, as last told.
+    pub free: Amounts,
+    pub kept: f64,
+    /// The same as the plan goes on.
+    pub candidate: Candidate,
+    /// What running work is expected to leave within a boot time.
+    pub ending: Amounts,
+    pub images: Vec<String>,
+    pub tasks: Vec<(TaskId, Rc<JobSpec>)>,
+    /// Nothing more of the present plan goes there.
+    pub closed: bool,
+}
+
+impl Room {
+    pub fn takes(&self, spec: &JobSpec) -> bool {
+        self.usable
+            && !self.closed
+            && (spec.spot || !self.spot)
+            && spec.allows_type(&self.kind)
+            && spec.allows_zone(&self.zone)
+    }
+
+    pub fn cached(&self, spec: &JobSpec) -> f64 {
+        if self.images.contains(&spec.image) {
+            spec.image_gb
+        } else {
+            0.0
+        }
+    }
+
+    /// Its free room after the last plan, for sizing the fleet.
+    pub fn coming(&self) -> Coming {
+        Coming {
+            offer: Offer {
+                kind: self.kind.clone(),
+                zone: self.zone.clone(),
+                spot: self.spot,
+            },
+            free: self.candidate.free,
+        }
+    }
+
+    /// The same with what running work will probably have left by the time a
+    /// machine rented now would be up.
+    pub fn coming_with_ending(&self) -> Coming {
+        let mut coming = self.coming();
+        coming.free = plus(&coming.free, &self.ending);
+        coming
+    }
+
+    pub fn take(&mut self, spec: &JobSpec) {
+        self.candidate.free = minus(&self.candidate.free, &spec.amounts());
+        if spec.shape == Shape::Service {
+            self.candidate.kept += spec.cpus / self.candidate.total.cpus.max(f64::MIN_POSITIVE);
+        }
+    }
+}
+
+/// All machines, in the order of their names.
+#[derive(Debug, Default)]
+pub(crate) struct Rooms {
+    pub list: Vec<Room>,
+    /// How many machines each task is bound to.
+    bound: HashMap<TaskId, u32>,
+    /// Machines to look at again.
+    stale: BTreeSet<String>,
+    all_at: Option<Duration>,
+}
+
+impl Rooms {
+    /// Where a machine is in the list.
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.list
+            .binary_search_by(|r| r.name.as_str().cmp(name))
+            .ok()
+    }
+
+    /// Whether some machine has the task.
+    pub fn has(&self, task: &TaskId) -> bool {
+        self.bound.contains_key(task)
+    }
+
+    fn set(&mut self, name: &str, room: Option<Room>) {
+        let at = self.list.binary_search_by(|r| r.name.as_str().cmp(name));
+        for (task, _) in room.iter().flat_map(|r| &r.tasks) {
+            *self.bound.entry(task.clone()).or_default() += 1;
+        }
+        let old = match (at, room) {
+            (Ok(at), Some(room)) => Some(std::mem::replace(&mut self.list[at], room)),
+            (Ok(at), None) => Some(self.list.remove(at)),
+            (Err(at), Some(room)) => {
+                self.list.insert(at, room);
+                None
+            }
+            (Err(_), None) => None,
+        };
+        for (task, _) in old.iter().flat_map(|r| &r.tasks) {
+            if let Some(n) = self.bound.get_mut(task) {
+                *n -= 1;
+                if *n == 0 {
+                    self.bound.remove(task);
+                }
+            }
+        }
+    }
+}
+
+impl Controller {
+    /// Something about a machine may have changed.
+    pub(crate) fn room_changed(&mut self, name: &str) {
+        if let Some(leader) = &mut self.leader {
+            leader.rooms.stale.insert(name.to_owned());
+            leader.plan_due = true;
+        }
+    }
+
+    /// Looks again at what may have changed.
+    pub(crate) fn refresh_rooms(&self, rooms: &mut Rooms) {
+        let now = self.now;
+        if rooms.all_at.is_none_or(|at| now >= at + PERIOD) {
+            *rooms = Rooms {
+                all_at: Some(now),
+                ..Rooms::default()
+            };
+            for name in self.view.machines.keys() {
+                if let Some(room) = self.room(name) {
+                    for (task, _) in &room.tasks {
+                        *rooms.bound.entry(task.clone()).or_default() += 1;
+                    }
+                    rooms.list.push(room);
+                }
+            }
+            return;
+        }
+        for name in std::mem::take(&mut rooms.stale) {
+            rooms.set(&name, self.room(&name));
+        }
+    }
+
+    fn room(&self, name: &str) -> Option<Room> {
+        let record = &self.view.machines.get(name)?.record;
+        let block = self.view.blocks.get(&record.block)?;
+        let kind = self.types.get(&record.kind)?;
+        let (seen, fresh) = self.seen(name, block)?;
+        let total = kind.amounts();
+        let tasks = self.tasks_on(seen, record.block, fresh);
+        let free = if fresh {
+            seen.free
+        } else {
+            // Its holder can't be heard: by the records, then, what has been
+            // done or given back takes no room any more.
+            let needs = tasks.iter().map(|(_, spec)| spec.amounts());
+            needs.fold(total, |free, need| minus(&free, &need))
+        };
+        let services = tasks.iter().filter(|(_, s)| s.shape == Shape::Service);
+        let kept = services.map(|(_, s)| s.cpus).sum::<f64>();
+        let kept = kept / total.cpus.max(f64::MIN_POSITIVE);
+        Some(Room {
+            name: name.to_owned(),
+            block: record.block,
+            term: block.version,
+            zone: record.zone.clone(),
+            kind: record.kind.clone(),
+            spot: record.spot,
+            usable: seen.usable && !self.draining.contains(name),
+            fresh,
+            faulty: seen.faulty,
+            silent_since: seen.silent_since,
+            idle_since: seen.idle_since,
+            free,
+            kept,
+            candidate: Candidate {
+                total,
+                free,
+                cached_gb: 0.0,
+                spot: record.spot,
+                kept,
+            },
+            ending: self.ending(&tasks),
+            images: seen.images.clone(),
+            tasks,
+            closed: false,
+        })
+    }
+
+    fn tasks_on(&self, seen: &Seen, block: BlockId, fresh: bool) -> Vec<(TaskId, Rc<JobSpec>)> {
+        let here = |task: &&TaskId| {
+            let job = self.view.jobs.get(&task.job);
+            let place = job.map(|j| j.place(task.index));
+            fresh || matches!(place, Some(Place::Handed { block: b, .. }) if b == block)
+        };
+        let spec = |task: &TaskId| self.view.jobs.get(&task.job)?.spec.clone();
+        let tasks = seen.tasks.iter().filter(here);
+        tasks.filter_map(|t| Some((t.clone(), spec(t)?))).collect()
+    }
+
+    fn ending(&self, tasks: &[(TaskId, Rc<JobSpec>)]) -> Amounts {
+        let horizon = self.tuning.rent_horizon * self.shortest_boot_s();
+        let mut ending = Amounts::default();
+        for (_, spec) in tasks.iter().filter(|(_, s)| s.shape != Shape::Service) {
+            let part = (horizon / spec.estimate_s.max(1.0)).min(1.0);
+            ending.cpus += spec.cpus * part;
+            ending.gpus += spec.gpus * part;
+            ending.memory_gb += spec.memory_gb * part;
+        }
+        ending
+    }
+}
--- /dev/null
+++ b/crates/core/src/seen.rs
@@ -0,0 +1,148 @@
+//! Machines as their holders see them: our own by what we know, the others'
+//! by what their holders told us last. Kept up to date machine by machine, as
+//! there are too many to look at all of them at each piece of news.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use oliveshift_policy::score::minus;
+use oliveshift_wire::{TaskId, job::Amounts, peer::MachineView};
+
+use crate::{
+    controller::Controller,
+    machine::Machine,
+    records::{BlockRecord, Term},
+    view::Versioned,
+};
+
+/// How often all machines are looked at, for what time alone changes.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// A machine as its holder sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Seen {
+    pub term: Term,
+    /// Whether tasks can be placed on it.
+    pub usable: bool,
+    /// Whether it is to be replaced.
+    pub faulty: bool,
+    /// Since when it has been silent; none: it was heard lately.
+    pub silent_since: Option<Duration>,
+    /// Since when it has had no task.
+    pub idle_since: Option<Duration>,
+    pub free: Amounts,
+    pub images: Vec<String>,
+    /// Tasks bound to it.
+    pub tasks: Vec<TaskId>,
+}
+
+impl Seen {
+    /// As told by a peer just now.
+    pub fn hear(now: Duration, view: MachineView) -> (String, Self) {
+        let at = |ms| now.saturating_sub(Duration::from_millis(ms));
+        let [cpus, gpus, memory_gb] = view.free;
+        let seen = Self {
+            term: view.term,
+            usable: view.usable,
+            faulty: view.faulty,
+            silent_since: view.silent_ms.map(at),
+            idle_since: view.idle_ms.map(at),
+            free: Amounts {
+                cpus,
+                gpus,
+                memory_gb,
+            },
+            images: view.images,
+            tasks: view.tasks,
+        };
+        (view.name, seen)
+    }
+
+    /// To be told to a peer.
+    pub fn tell(&self, now: Duration, name: &str) -> MachineView {
+        let ago = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        MachineView {
+            name: name.to_owned(),
+            term: self.term,
+            usable: self.usable,
+            faulty: self.faulty,
+            silent_ms: self.silent_since.map(ago),
+            idle_ms: self.idle_since.map(ago),
+            free: [self.free.cpus, self.free.gpus, self.free.memory_gb],
+            images: self.images.clone(),
+            tasks: self.tasks.clone(),
+        }
+    }
+}
+
+/// Our own machines as we see them, each with the version in which it changed
+/// last.
+#[derive(Debug, Default)]
+pub(crate) struct Own {
+    pub version: u64,
+    pub machines: BTreeMap<String, (u64, Seen)>,
+    /// Machines to look at again.
+    touched: std::collections::BTreeSet<String>,
+    looked_at: Duration,
+}
+
+impl Controller {
+    /// Something about a machine of ours may have changed.
+    pub(crate) fn touch(&mut self, name: &str) {
+        if !self.own.touched.contains(name) {
+            self.own.touched.insert(name.to_owned());
+        }
+    }
+
+    /// Looks again at the machines of ours that may have changed.
+    pub(crate) fn refresh_own(&mut self) {
+        if self.now >= self.own.looked_at + PERIOD {
+            self.own.looked_at = self.now;
+            let all = self.machines.keys().chain(self.own.machines.keys());
+            self.own.touched = all.cloned().collect();
+        }
+        for name in std::mem::take(&mut self.own.touched) {
+            let changed = match self.machines.get(&name) {
+                None => self.own.machines.remove(&name).is_some(),
+                Some(machine) => {
+                    let seen = self.look(&name, machine);
+                    let changed = self.own.machines.get(&name).is_none_or(|o| o.1 != seen);
+                    if changed {
+                        self.own.version += 1;
+                        let version = self.own.version;
+                        self.own.machines.insert(name.clone(), (version, seen));
+                    }
+                    changed
+                }
+            };
+            if changed {
+                self.room_changed(&name);
+            }
+        }
+    }
+
+    fn look(&self, name: &str, machine: &Machine) -> Seen {
+        let total = self.types.get(&machine.record.kind).map(|k| k.amounts());
+        let silent = machine.silent(self.now) >= self.silence_limit();
+        Seen {
+            term: machine.term,
+            usable: self.usable(name, machine),
+            faulty: machine.faulty(),
+            silent_since: silent.then(|| machine.heard.unwrap_or(machine.since)),
+            idle_since: machine.idle_since,
+            free: minus(&total.unwrap_or_default(), &self.used(machine)),
+            images: machine.images.iter().map(|(n, _)| n.clone()).collect(),
+            tasks: machine.bound.iter().cloned().collect(),
+        }
+    }
+
+    /// A machine as its holder sees it, whether that is us or a peer, if it is
+    /// by its present term; and whether that is recent.
+    pub(crate) fn seen(&self, name: &str, block: &Versioned<BlockRecord>) -> Option<(&Seen, bool)> {
+        if let Some((_, seen)) = self.own.machines.get(name) {
+            return Some((seen, true)).filter(|_| self.machines.contains_key(name));
+        }
+        let peer = self.peers.get(&block.record.holder)?;
+        let seen = peer.machines.get(name)?;
+        (seen.term == block.version).then(|| (seen, peer.is_fresh(self.now)))
+    }
+}
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -204,11 +204,13 @@
         let Some(slot) = self.slots.get_mut(task) else {
             return;
         };
+        let mut touched = Vec::new();
         match &slot.state {
             State::Bound(bound) => {
                 if let Some(machine) = self.machines.get_mut(&bound.machine) {
                     machine.bound.remove(task);
                 }
+                touched.push(bound.machine.clone());
             }
             State::Free { .. } => {
                 self.unplaced.remove(task);
@@ -218,7 +220,9 @@
                     held.lost = held.lost.saturating_sub(1);
                 }
             }
-            State::Done | State::Leaving => {}
+            State::Done | State::Leaving => {
+                self.over.remove(task);
+            }
         }
         slot.state = state;
         match &slot.state {
@@ -227,11 +231,13 @@
                     machine.bound.insert(task.clone());
                     machine.idle_since = None;
                 }
+                touched.push(bound.machine.clone());
             }
             State::Free { .. } => {
                 self.unplaced.insert(task.clone());
             }
             State::Done | State::Leaving => {
+                self.over.insert(task.clone());
                 if let Some(job) = self.view.jobs.get(&task.job) {
                     let part = job.chunk_of(task.index);
                     let now = self.now;
@@ -244,7 +250,9 @@
                 }
             }
         }
-        self.gossip_due = true;
+        for name in touched {
+            self.touch(&name);
+        }
     }
 
     /// The task is not where it was: place it anew, or give it back if nobody
@@ -282,6 +290,7 @@
         self.set_state(task, State::Done);
         self.slots.remove(task);
         self.unplaced.remove(task);
+        self.over.remove(task);
     }
 
     /// After a first read made anew: slots follow all records again.
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -1,7 +1,8 @@
 //! Names of jobs and tasks.
 
-use std::{fmt, rc::Rc, str::FromStr};
+use std::{fmt, io, rc::Rc, str::FromStr};
 
+use borsh::{BorshDeserialize, BorshSerialize};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 use thiserror::Error;
 
@@ -10,7 +11,7 @@
 pub struct JobId(Rc<str>);
 
 /// A task of a job, written `j-000412/3`.
-#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
 pub struct TaskId {
     /// The job.
     pub job: JobId,
@@ -41,6 +42,20 @@
     }
 }
 
+impl BorshSerialize for JobId {
+    fn serialize<W: io::Write>(&self, to: &mut W) -> io::Result<()> {
+        BorshSerialize::serialize(&*self.0, to)
+    }
+}
+
+impl BorshDeserialize for JobId {
+    fn deserialize_reader<R: io::Read>(from: &mut R) -> io::Result<Self> {
+        let text: String = BorshDeserialize::deserialize_reader(from)?;
+        let bad = |e| io::Error::new(io::ErrorKind::InvalidData, e);
+        text.parse().map_err(bad)
+    }
+}
+
 impl FromStr for JobId {
     type Err = BadId;
 
@@ -101,7 +116,7 @@
 
         impl<'de> Deserialize<'de> for $name {
             fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-                let text = std::borrow::Cow::<str>::deserialize(from)?;
+                let text = <std::borrow::Cow<str> as Deserialize>::deserialize(from)?;
                 text.parse().map_err(D::Error::custom)
             }
         }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,7 +3,13 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use crate::TaskId;
+
 /// What a controller tells another.
+///
+/// Machines are told as differences: those that changed after the version
+/// `base`, which the other has said to have, up to `upto`. A receiver that has
+/// less than `base` refuses the message and is told everything.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct PeerMessage {
     /// Who speaks.
@@ -12,12 +18,20 @@
     pub incarnation: u64,
     /// How long ago its view of the state service was whole; none: never.
     pub contact_ms: Option<u64>,
-    /// The machines of its blocks.
+    /// The version after which the machines told here have changed; 0: all are
+    /// told.
+    pub base: u64,
+    /// The version that the receiver has with them.
+    pub upto: u64,
+    /// Machines of the sender's blocks.
     pub machines: Vec<MachineView>,
+    /// Tasks that are over or given back in the sender's blocks while the
+    /// records do not say so yet: they take no room.
+    pub over: Vec<TaskId>,
     /// From the leader: machines that get no new tasks and are to be emptied.
     pub drain: Vec<String>,
     /// From the leader: tasks that have to make room.
-    pub preempt: Vec<String>,
+    pub preempt: Vec<TaskId>,
 }
 
 /// A machine as its holder sees it.
@@ -31,17 +45,14 @@
     pub usable: bool,
     /// Whether it is to be replaced.
     pub faulty: bool,
-    /// How long its worker has been silent.
-    pub silent_ms: u64,
+    /// How long its worker has been silent; none: it was heard lately.
+    pub silent_ms: Option<u64>,
     /// For how long it has had no task; none: it has some.
     pub idle_ms: Option<u64>,
     /// Free processors, accelerators and memory.
     pub free: [f64; 3],
     /// Images that it most likely has.
     pub images: Vec<String>,
-    /// Tasks of the block that wait for a place do not count as room used;
-    /// here are those bound to the machine, and whether each runs.
-    pub tasks: Vec<(String, bool)>,
-    /// Seconds until the cloud takes it.
-    pub notice_ms: Option<u64>,
+    /// Tasks bound to it.
+    pub tasks: Vec<TaskId>,
 }
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -150,7 +150,10 @@
         from: "n-1".into(),
         incarnation: 3,
         contact_ms: None,
+        base: 4,
+        upto: 9,
         machines: Vec::new(),
+        over: vec!["j-7/2".parse().expect("a task")],
         drain: vec!["vm-1".into()],
         preempt: Vec::new(),
     };
