--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -205,6 +205,12 @@
         }
         let new_session = report.session > machine.session;
         let first = machine.session == 0;
+        if new_session {
+            // Its lease runs from its beginning, which we may learn from the
+            // answer to direct orders. Counted from our last answer to the
+            // session before, it would be over while its tasks run.
+            machine.renewed = machine.renewed.max(Some(now));
+        }
         machine.session = report.session;
         machine.seq = report.seq;
         machine.heard = Some(now);
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -56,6 +56,13 @@
         /// Until when.
         until: Duration,
     },
+    /// Connections between controllers are refused.
+    PeersRefuse {
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// The cloud takes spot machines, without notice.
     Taken {
         /// When.
@@ -105,6 +112,11 @@
             },
         });
     }
+    if rng.u32(0..4) == 0 {
+        let from = s(rng.u64(15..end.as_secs() - 30));
+        let until = from + s(20);
+        faults.push(Fault::PeersRefuse { from, until });
+    }
     if rng.bool() {
         let at = s(rng.u64(15..end.as_secs() - 20));
         faults.extend((0..nodes).map(|node| Fault::Crash { node, at }));
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -73,6 +73,7 @@
 enum Asker {
     Worker { name: String, report: u64 },
     User { job: JobId, what: Ask },
+    Peer { node: usize, life: u64, id: CallId },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -527,6 +528,11 @@
                     let reply = Reply::NotSent;
                     return self.at(self.now, Event::Reply(node, life, id, reply));
                 }
+                let refuse = |f: &Fault| matches!(f, Fault::PeersRefuse { from, until } if (*from..*until).contains(&self.now));
+                if self.faults.iter().any(refuse) {
+                    let reply = Reply::NotSent;
+                    return self.at(self.now, Event::Reply(node, life, id, reply));
+                }
                 let conn = self.id();
                 let request = Request {
                     conn,
@@ -535,8 +541,9 @@
                     path: call.path,
                     body: call.body,
                 };
+                let asker = Asker::Peer { node, life, id };
+                self.askers.insert((to, self.nodes[to].life, conn), asker);
                 self.input(to, Input::Request(request));
-                self.answer_call(node, life, id, 200, Vec::new());
             }
         }
     }
@@ -694,6 +701,7 @@
                 self.at(at, Event::ReportAnswer(report, name, status, body));
             }
             Asker::User { job, what } => self.user_answered(job, what, status, &body),
+            Asker::Peer { node, life, id } => self.answer_call(node, life, id, status, body),
         }
     }
 
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -52,6 +52,49 @@
     good(1029, draw(1029, 3, S * 180));
 }
 
+/// A session learnt through the answer to direct orders counted from the last
+/// answer to the session before, and was written off while its tasks ran.
+#[test]
+fn a_new_session_runs_its_whole_lease() {
+    let crash = |node, at| Fault::Crash { node, at: S * at };
+    let outage = |from, until| Fault::Outage {
+        from: S * from,
+        until: S * until,
+    };
+    let faults = vec![
+        outage(36, 52),
+        Fault::CloudOutage {
+            from: S * 43,
+            until: S * 57,
+        },
+        outage(146, 173),
+        crash(0, 60),
+        Fault::Sick {
+            machine: 3,
+            at: S * 147,
+        },
+        crash(1, 24),
+        crash(0, 132),
+        crash(0, 96),
+        crash(1, 96),
+        crash(2, 96),
+    ];
+    for seed in 1033..1037 {
+        good(seed, faults.clone());
+    }
+}
+
+/// With the peers unreachable the leader goes by the records and what it heard
+/// last.
+#[test]
+fn controllers_that_refuse_each_other() {
+    for (seed, node) in [(20, 0), (21, 1), (22, 2)] {
+        let (from, until) = (S * 40, S * 100);
+        let alone = Fault::Refused { node, from, until };
+        good(seed, vec![Fault::PeersRefuse { from, until }, alone]);
+    }
+}
+
 #[test]
 fn drawn_days() {
     for seed in 100..140 {
