A block's machines in one record; done work recorded later; requests and writes shared by need

Submissions found nothing left and were sent back.

Change: machines/BLOCK lists the machines of a block, and one transaction adds and removes many (one under way at a time, repeated until it is settled, so no machine can be in two blocks). What is done and not the last of its job is gathered for 0.6 to 2.5 s. Users' writes come first, on credit. The limits are shared among the controllers that are up; watches and reads keep to a share. Block size follows the number of machines.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -21,7 +21,7 @@
     leader::Leader,
     machine::Machine,
     peers::{Link, PeerState},
-    recorder::Busy,
+    recorder::{Busy, News},
     records::{BlockId, Key},
     seen::Own,
     slots::Slot,
@@ -108,8 +108,8 @@
     pub(crate) slots: BTreeMap<TaskId, Slot>,
     /// Tasks of held blocks that have no machine.
     pub(crate) unplaced: BTreeSet<TaskId>,
-    /// Chunks with news to record, and since when.
-    pub(crate) dirty: BTreeMap<(JobId, u32), Duration>,
+    /// Chunks with news to record.
+    pub(crate) dirty: BTreeMap<(JobId, u32), News>,
     /// Chunks with a write under way.
     pub(crate) busy: HashMap<(JobId, u32), Busy>,
     /// Machines for which orders are ready.
@@ -278,6 +278,7 @@
             Purpose::Cancel(id, asks) => self.cancel_written(id, asks, outcome),
             Purpose::Chunk(id, part) => self.chunk_written(id, part, txn, outcome),
             Purpose::Lead2(what) => self.duty_written(what, outcome),
+            Purpose::Lists => self.lists_written(&txn, outcome),
         }
     }
 
@@ -287,7 +288,11 @@
         match key {
             Key::Leader | Key::Member(_) => self.members_changed(),
             Key::Block(id) => self.block_changed(*id),
-            Key::Machine(name) => self.machine_changed(name),
+            Key::Machines(_) => {
+                for name in std::mem::take(&mut self.view.news) {
+                    self.machine_changed(&name);
+                }
+            }
             Key::Job(id) => self.job_changed(id),
             Key::Chunk(id, part) => self.chunk_changed(id, *part),
             Key::Settings => {}
@@ -338,6 +343,7 @@
 
     /// Says that the request can't be taken now and when to come back.
     pub(crate) fn come_back(&mut self, conn: ConnId, error: &str) {
+        log::debug!("a user is told to come back: {error}");
         let body = oliveshift_wire::encode(&Refusal {
             error: error.to_owned(),
         });
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -66,7 +66,7 @@
     early: Vec<Duration>,
     /// Returned for sure, and when: their records go next. The lagging list
     /// shows them for a while longer.
-    gone: BTreeMap<String, Duration>,
+    pub gone: BTreeMap<String, Duration>,
     lag: Duration,
     rent_at: Duration,
     returns_at: Duration,
@@ -133,10 +133,6 @@
         self.rent();
         self.choose_returns();
         self.send_returns();
-        let gone: Vec<_> = self.fleet.gone.keys().cloned().collect();
-        for name in gone {
-            self.unregister(&name);
-        }
         let (now, machines) = (self.now, &self.view.machines);
         let shown = self.fleet.lag * 4 + LIST_PERIOD * 3;
         self.fleet
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -14,8 +14,9 @@
 use crate::{
     call::ConnId,
     controller::Controller,
+    lists::ListWrite,
     recorder::put_job,
-    records::{BlockId, BlockRecord, Key, MachineRecord, Phase, to_value},
+    records::{BlockId, BlockRecord, Key, Phase, to_value},
     rooms::Rooms,
     store::{Outcome, Purpose, Urgency},
 };
@@ -32,10 +33,6 @@
 pub(crate) enum Duty {
     /// Leasing a block.
     Lease(BlockId),
-    /// Taking a machine into a block.
-    Register(String),
-    /// Removing the record of a machine that is gone.
-    Unregister(String),
     /// Tidying up after a job.
     Tidy(JobId),
 }
@@ -50,7 +47,7 @@
     /// Duties under way, and when to look at them again.
     duties: BTreeMap<Duty, Duration>,
     /// Reports of machines that have no record yet.
-    reports: Vec<(ConnId, Report, Duration)>,
+    pub reports: Vec<(ConnId, Report, Duration)>,
     /// Since when each controller is up.
     up: BTreeMap<String, (u64, Duration)>,
     /// All machines as last seen.
@@ -59,6 +56,10 @@
     pub asked: BTreeMap<TaskId, Duration>,
     /// The machine on which each task was counted at hand-out.
     pub planned: BTreeMap<TaskId, String>,
+    /// The write of machine lists under way.
+    pub lists: Option<ListWrite>,
+    /// Blocks being made, and in which zone.
+    making: BTreeMap<BlockId, String>,
     tidy_at: Duration,
 }
 
@@ -79,7 +80,7 @@
         });
         let version = mine.map(|l| l.version);
         if version == self.leader.as_ref().map(|l| l.version) {
-            return;
+            return self.share_budget();
         }
         match version {
             Some(version) => {
@@ -94,6 +95,8 @@
                     rooms: Rooms::default(),
                     asked: BTreeMap::new(),
                     planned: BTreeMap::new(),
+                    lists: None,
+                    making: BTreeMap::new(),
                     tidy_at: self.now,
                 });
             }
@@ -166,7 +169,7 @@
             return;
         }
         self.lease_blocks(tidy);
-        self.register_machines();
+        self.keep_lists();
         if tidy {
             self.tidy();
         }
@@ -223,9 +226,9 @@
         }
     }
 
-    fn lease_block(&mut self, id: BlockId, version: u64, zone: String, holder: &str) {
+    fn lease_block(&mut self, id: BlockId, version: u64, zone: String, holder: &str) -> bool {
         let Some(member) = self.view.members.get(holder) else {
-            return;
+            return false;
         };
         let record = BlockRecord {
             zone,
@@ -234,7 +237,7 @@
         };
         let key = Key::Block(id).path();
         let Some(lead) = self.leader_cond() else {
-            return;
+            return false;
         };
         let txn = Txn {
             conds: vec![
@@ -250,9 +253,11 @@
                 lease: None,
             }],
         };
-        if self.duty(Duty::Lease(id), txn, Urgency::Safety) {
+        let sent = self.duty(Duty::Lease(id), txn, Urgency::Safety);
+        if sent {
             log::info!("block {id} in {}: leased to {holder}", record.zone);
         }
+        sent
     }
 
     /// How many machines each controller holds.
@@ -332,124 +337,28 @@
         })
     }
 
-    /// Gives machines that have reported a place in a block of their zone.
-    fn register_machines(&mut self) {
-        let Some(leader) = &self.leader else { return };
-        if leader.reports.is_empty() {
+    /// Begins a block in a zone, unless one is being made there.
+    pub(crate) fn new_block(&mut self, zone: String) {
+        let Some(leader) = &mut self.leader else {
             return;
-        }
-        let mut seen = BTreeSet::new();
-        let new: Vec<_> = leader
-            .reports
-            .iter()
-            .filter(|(_, r, _)| {
-                !leader
-                    .duties
-                    .contains_key(&Duty::Register(r.machine.clone()))
-            })
-            .filter(|(_, r, _)| seen.insert(r.machine.clone()))
-            .map(|(_, r, _)| {
-                (
-                    r.machine.clone(),
-                    r.kind.clone(),
-                    r.zone.clone(),
-                    r.spot,
-                    r.addr.clone(),
-                )
-            })
-            .collect();
-        let mut added: BTreeMap<BlockId, usize> = BTreeMap::new();
-        for (name, kind, zone, spot, addr) in new {
-            if self.fleet.returning(&name) {
-                continue;
-            }
-            let size = |id: &BlockId| {
-                self.view.in_block.get(id).map_or(0, BTreeSet::len)
-                    + added.get(id).copied().unwrap_or(0)
-            };
-            let block = self
-                .view
-                .blocks
-                .iter()
-                .find(|(id, b)| b.record.zone == zone && size(id) < self.tuning.block_size)
-                .map(|(id, _)| *id);
-            let Some(block) = block else {
-                self.new_block(zone);
-                continue;
-            };
-            let record = MachineRecord {
-                block,
-                kind,
-                zone,
-                spot,
-                addr,
-            };
-            let key = Key::Machine(name.clone()).path();
-            let Some(lead) = self.leader_cond() else {
-                return;
-            };
-            let txn = Txn {
-                conds: vec![
-                    lead,
-                    Cond {
-                        key: key.clone(),
-                        version: 0,
-                    },
-                ],
-                changes: vec![Change::Put {
-                    key,
-                    value: to_value(&record),
-                    lease: None,
-                }],
-            };
-            if self.duty(Duty::Register(name.clone()), txn, Urgency::Handout) {
-                log::info!("{name}: joins block {block}");
-                *added.entry(block).or_default() += 1;
-            }
-        }
-    }
-
-    fn new_block(&mut self, zone: String) {
-        let blocks = self.view.blocks.keys();
-        let duties = self.leader.iter().flat_map(|l| l.duties.keys());
-        let pending: Vec<_> = duties
-            .filter_map(|d| match d {
-                Duty::Lease(id) if !self.view.blocks.contains_key(id) => Some(*id),
-                _ => None,
-            })
-            .collect();
-        // One new block at a time: whether it is for this zone shows later.
-        if !pending.is_empty() {
+        };
+        let (duties, blocks) = (&leader.duties, &self.view.blocks);
+        leader
+            .making
+            .retain(|id, _| !blocks.contains_key(id) && duties.contains_key(&Duty::Lease(*id)));
+        if leader.making.values().any(|z| *z == zone) {
             return;
         }
-        let id = blocks.max().map_or(0, |id| id + 1);
-        if let Some(holder) = self.best_holder(&zone, &self.loads()) {
-            self.lease_block(id, 0, zone, &holder);
+        let newest = blocks.keys().chain(leader.making.keys()).max();
+        let id = newest.map_or(0, |id| id + 1);
+        if let Some(holder) = self.best_holder(&zone, &self.loads())
+            && self.lease_block(id, 0, zone.clone(), &holder)
+            && let Some(leader) = &mut self.leader
+        {
+            leader.making.insert(id, zone);
         }
     }
 
-    /// Removes the record of a machine that is surely gone.
-    pub(crate) fn unregister(&mut self, name: &str) {
-        let Some(version) = self.view.machines.get(name).map(|m| m.version) else {
-            return;
-        };
-        let key = Key::Machine(name.to_owned()).path();
-        let Some(lead) = self.leader_cond() else {
-            return;
-        };
-        let txn = Txn {
-            conds: vec![
-                lead,
-                Cond {
-                    key: key.clone(),
-                    version,
-                },
-            ],
-            changes: vec![Change::Delete { key }],
-        };
-        self.duty(Duty::Unregister(name.to_owned()), txn, Urgency::Safety);
-    }
-
     /// Compacts jobs that are over: their description and chunks go once
     /// nothing of them can be on a machine.
     fn tidy(&mut self) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod handout;
 mod leader;
+mod lists;
 mod machine;
 mod orders;
 mod peers;
--- a/crates/core/src/recorder.rs
+++ b/crates/core/src/recorder.rs
@@ -17,9 +17,19 @@
 
 /// How long news is gathered before it is written.
 const GATHER: Duration = Duration::from_millis(60);
+/// How long what is not pressing is gathered, and when it presses all the same.
+const GATHER_MORE: Duration = Duration::from_millis(600);
+const PATIENCE: Duration = Duration::from_millis(2500);
 /// How long to wait after a write that got no answer.
 const RETRY: Duration = Duration::from_millis(400);
 
+/// News of a chunk: since when, and when to see whether to write it.
+#[derive(Debug)]
+pub(crate) struct News {
+    since: Duration,
+    look_at: Duration,
+}
+
 /// A write of a chunk under way. Until its outcome shows in the view, the
 /// chunk gets no other write from us.
 #[derive(Debug)]
@@ -34,7 +44,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
+pub(crate) enum Step {
     /// No answer yet.
     Sent,
     /// Answered; the view will show it at this revision.
@@ -65,28 +75,76 @@
         if self.dirty.is_empty() {
             return;
         }
+        let now = self.now;
         let due: Vec<_> = self
             .dirty
             .iter()
-            .filter(|(chunk, since)| {
-                self.now >= **since + GATHER && !self.busy.contains_key(*chunk)
-            })
-            .map(|(chunk, _)| chunk.clone())
+            .filter(|(chunk, news)| now >= news.look_at && !self.busy.contains_key(*chunk))
+            .map(|(chunk, news)| (chunk.clone(), news.since))
             .collect();
-        for (id, part) in due {
+        for ((id, part), since) in due {
+            let urgency = if self.is_pressing(&id, part) || now >= since + PATIENCE {
+                Urgency::Safety
+            } else if now >= since + GATHER_MORE {
+                Urgency::Later
+            } else {
+                self.look_again(id, part, since + GATHER_MORE);
+                continue;
+            };
             match self.chunk_news(&id, part) {
                 None => {
                     self.dirty.remove(&(id, part));
                 }
                 Some(txn) => {
-                    if self.write_chunk(&id, part, txn, Vec::new(), Urgency::Safety) {
+                    if self.write_chunk(&id, part, txn, Vec::new(), urgency) {
                         self.dirty.remove(&(id, part));
+                    } else {
+                        self.look_again(id, part, now + GATHER);
                     }
                 }
             }
         }
     }
 
+    fn look_again(&mut self, id: JobId, part: u32, at: Duration) {
+        if let Some(news) = self.dirty.get_mut(&(id, part)) {
+            news.look_at = at;
+        }
+    }
+
+    /// There is news of a chunk to record.
+    pub(crate) fn note_news(&mut self, id: &JobId, part: u32) {
+        let now = self.now;
+        let news = self.dirty.entry((id.clone(), part)).or_insert(News {
+            since: now,
+            look_at: now + GATHER,
+        });
+        news.look_at = news.look_at.min(now + GATHER);
+    }
+
+    /// Whether a chunk's news should not wait for more: something of it is
+    /// given back, or nothing more will come from us soon. What is done
+    /// besides can wait, since users hear of whole jobs only, the room is known
+    /// to be free, and every write of a chunk holds up all others.
+    fn is_pressing(&self, id: &JobId, part: u32) -> bool {
+        let Some(job) = self.view.jobs.get(id) else {
+            return true;
+        };
+        let (first, count) = job.chunk_span(part);
+        let slots = self
+            .slots
+            .range(id.task(first)..id.task(first.saturating_add(count as u32)));
+        let mut more = false;
+        for (_, slot) in slots {
+            match slot.state {
+                State::Leaving => return true,
+                State::Done => {}
+                State::Bound(_) | State::Free { .. } | State::Lost => more = true,
+            }
+        }
+        !more
+    }
+
     /// The write that a chunk's news asks for; none if there are none.
     fn chunk_news(&self, id: &JobId, part: u32) -> Option<Txn> {
         let job = self.view.jobs.get(id)?;
@@ -194,7 +252,8 @@
         let now = self.now;
         let key = (id, part);
         // Records that the write left out, or that it lost, are tried again.
-        self.dirty.entry(key.clone()).or_insert(now);
+        let (id, part) = &key;
+        self.note_news(id, *part);
         let Some(busy) = self.busy.get_mut(&key) else {
             return;
         };
@@ -208,7 +267,8 @@
             Outcome::Unknown => busy.step = Step::Again(now + RETRY),
             Outcome::Refused | Outcome::NoLease => {
                 self.busy.remove(&key);
-                self.dirty.insert(key, now + RETRY);
+                let (id, part) = key;
+                self.look_again(id, part, now + RETRY);
             }
         }
         self.busy_progress();
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -21,8 +21,8 @@
     Member(String),
     /// The lease of a block.
     Block(BlockId),
-    /// A machine's place in a block.
-    Machine(String),
+    /// The machines of a block.
+    Machines(BlockId),
     /// A job.
     Job(JobId),
     /// Part of a job's tasks.
@@ -38,7 +38,7 @@
             Self::Leader => format!("{ROOT}leader"),
             Self::Member(name) => format!("{ROOT}member/{name}"),
             Self::Block(id) => format!("{ROOT}block/{id}"),
-            Self::Machine(name) => format!("{ROOT}machine/{name}"),
+            Self::Machines(id) => format!("{ROOT}machines/{id}"),
             Self::Job(id) => format!("{ROOT}job/{id}"),
             Self::Chunk(id, part) => format!("{ROOT}part/{id}/{part}"),
             Self::Settings => format!("{ROOT}settings"),
@@ -54,7 +54,7 @@
             None => return None,
             Some(("member", name)) => Self::Member(name.to_owned()),
             Some(("block", id)) => Self::Block(id.parse().ok()?),
-            Some(("machine", name)) => Self::Machine(name.to_owned()),
+            Some(("machines", id)) => Self::Machines(id.parse().ok()?),
             Some(("job", id)) => Self::Job(id.parse().ok()?),
             Some(("part", rest)) => {
                 let (job, part) = rest.split_once('/')?;
@@ -87,8 +87,31 @@
     pub incarnation: u64,
 }
 
-/// `machine/VM`. Never changes; removed only when the machine is surely gone.
+/// `machines/ID`: the machines of a block. A machine is taken out only when it
+/// is surely gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineList {
+    /// The zone of the block.
+    pub zone: String,
+    /// Its machines.
+    pub machines: Vec<ListedMachine>,
+}
+
+/// A machine of a block. Never changes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedMachine {
+    /// Its name.
+    pub name: String,
+    /// The machine type.
+    pub kind: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Where it takes orders.
+    pub addr: String,
+}
+
+/// A machine as the records have it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MachineRecord {
     /// The block that it belongs to.
     pub block: BlockId,
@@ -261,7 +284,7 @@
             Key::Leader,
             Key::Member("grove-0".into()),
             Key::Block(3),
-            Key::Machine("vm-1".into()),
+            Key::Machines(4),
             Key::Job(id.clone()),
             Key::Chunk(id, 9),
             Key::Settings,
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -240,8 +240,7 @@
                 self.over.insert(task.clone());
                 if let Some(job) = self.view.jobs.get(&task.job) {
                     let part = job.chunk_of(task.index);
-                    let now = self.now;
-                    self.dirty.entry((task.job.clone(), part)).or_insert(now);
+                    self.note_news(&task.job, part);
                 }
             }
             State::Lost => {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -24,12 +24,21 @@
 const WATCH: Duration = Duration::from_millis(800);
 /// When to give a request up.
 const TIMEOUT: Duration = Duration::from_millis(1500);
-/// The least time between two watches, to stay within the request budget.
+/// The least time between two watches, and between two reads for users.
 const WATCH_GAP: Duration = Duration::from_millis(30);
+const READ_GAP: Duration = Duration::from_millis(50);
+/// The shares of our requests that watches and reads may take: when much
+/// changes, each watch returns at once.
+const WATCH_SHARE: f64 = 0.45;
+const READ_SHARE: f64 = 0.25;
 /// The age of contact beyond which submissions are sent back at once.
 const CONTACT_LOST: Duration = Duration::from_millis(2600);
 /// The share of the limits that we use: refusals cost more than waiting.
 const SHARE: f64 = 0.92;
+/// The leader's part of the writes, and how many followers' part of the
+/// requests it has.
+const LEADER_SHARE: f64 = 0.5;
+const LEADER_REQUESTS: f64 = 2.0;
 
 /// What a transaction is for.
 #[derive(Debug)]
@@ -40,6 +49,22 @@
     Cancel(JobId, Vec<Ask>),
     Chunk(JobId, u32),
     Lead2(Duty),
+    Lists,
+}
+
+impl Purpose {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Member => "member",
+            Self::Lead => "lead",
+            Self::Accept(..) => "accept",
+            Self::Cancel(..) => "cancel",
+            Self::Chunk(..) => "chunk",
+            Self::Lead2(Duty::Lease(_)) => "lease",
+            Self::Lead2(Duty::Tidy(_)) => "tidy",
+            Self::Lists => "lists",
+        }
+    }
 }
 
 /// What came of a transaction.
@@ -66,6 +91,7 @@
     User,
     Handout,
     Read,
+    Later,
     Tidy,
 }
 
@@ -73,10 +99,13 @@
     fn reserve(self) -> f64 {
         match self {
             Self::Session => 0.0,
+            // Users come first, on credit: they are few, and what they are
+            // told to repeat costs them a second.
+            Self::User => -1.0,
             Self::Safety => 0.05,
-            Self::User => 0.1,
             Self::Handout => 0.15,
             Self::Read => 0.2,
+            Self::Later => 0.4,
             Self::Tidy => 0.5,
         }
     }
@@ -85,6 +114,8 @@
 /// The state of our dealings.
 #[derive(Debug)]
 pub(crate) struct Store {
+    /// Requests a second that we may make.
+    rps: f64,
     requests: Budget,
     writes: Budget,
     hold: Option<u64>,
@@ -109,6 +140,7 @@
     pub fn new(settings: &Settings) -> Self {
         let nodes = settings.peers_and_me() as f64;
         Self {
+            rps: settings.params.state.rps * SHARE / nodes,
             requests: Budget::new(settings.params.state.rps * SHARE / nodes, 1.0),
             writes: Budget::new(settings.params.state.write_rps * SHARE / nodes, 1.0),
             hold: None,
@@ -162,18 +194,24 @@
         self.store.ready && (self.in_contact() || !self.peers_have_contact())
     }
 
-    /// The leader writes more than the others, so its share is larger.
+    /// Shares the limits among the controllers that are up: one that is not
+    /// writes nothing. The leader writes more than the others, so its share is
+    /// larger.
     pub(crate) fn share_budget(&mut self) {
-        let nodes = self.settings.peers_and_me() as f64;
-        let share = if nodes < 2.0 {
-            SHARE
+        let most = self.settings.peers_and_me();
+        let nodes = self.view.members.len().clamp(most.min(2), most) as f64;
+        let part = LEADER_REQUESTS / (nodes - 1.0 + LEADER_REQUESTS);
+        let (requests, writes) = if nodes < 2.0 {
+            (SHARE, SHARE)
         } else if self.leader.is_some() {
-            SHARE / 2.0
+            (SHARE * part, SHARE * LEADER_SHARE)
         } else {
-            SHARE / 2.0 / (nodes - 1.0)
+            let each = SHARE / (nodes - 1.0);
+            (each * (1.0 - part), each * (1.0 - LEADER_SHARE))
         };
         let limits = &self.settings.params.state;
-        let (rps, writes) = (limits.rps * share, limits.write_rps * share);
+        let (rps, writes) = (limits.rps * requests, limits.write_rps * writes);
+        self.store.rps = rps;
         self.store.requests.set_rate(self.now, rps, 1.0);
         self.store.writes.set_rate(self.now, writes, 1.0);
     }
@@ -424,13 +462,20 @@
     pub(crate) fn watched(&mut self, after: u64, sent: Duration, reply: &Reply) {
         self.store.watch_pending = false;
         if self.take_events(after, sent, reply) {
-            self.store.watch_at = self.now.max(sent + WATCH_GAP);
+            self.store.watch_at = self.now.max(sent + self.gap(WATCH_GAP, WATCH_SHARE));
         } else {
             self.back_off();
         }
         self.keep_view();
     }
 
+    /// The least time between two requests of a kind that may take a share of
+    /// our requests.
+    fn gap(&self, least: Duration, share: f64) -> Duration {
+        let rate = (self.store.rps * share).max(1.0);
+        least.max(Duration::from_secs_f64(1.0 / rate))
+    }
+
     /// Applies what a watch or read brought; false if nothing could be used.
     fn take_events(&mut self, after: u64, sent: Duration, reply: &Reply) -> bool {
         let body = match reply {
@@ -482,7 +527,7 @@
             return;
         }
         self.store.read_pending = true;
-        self.store.read_at = self.now + Duration::from_millis(50);
+        self.store.read_at = self.now + self.gap(READ_GAP, READ_SHARE);
         let asks = std::mem::take(&mut self.admission.asks);
         let after = self.view.revision;
         let path = format!("/changes?starts={ROOT}&after={after}");
@@ -507,6 +552,7 @@
         {
             return false;
         }
+        log::debug!("writes {puts}: {}, {urgency:?}", purpose.name());
         let body = encode(&txn);
         let pending = Pending::Txn(purpose, txn);
         self.state_call(Method::Post, "/multi".into(), body, pending);
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -10,8 +10,11 @@
 pub struct Tuning {
     /// Weights and thresholds of the score.
     pub weights: Weights,
-    /// Most machines in a block.
-    pub block_size: usize,
+    /// How many blocks a controller should have, and how many machines a
+    /// block has at least and at most for that.
+    pub blocks_each: usize,
+    pub block_least: usize,
+    pub block_most: usize,
     /// Life of a controller's lease at the state service: how soon a dead
     /// controller is noticed.
     pub member_lease: Duration,
@@ -38,7 +41,9 @@
     pub fn new(_settings: &Settings) -> Self {
         Self {
             weights: Weights::default(),
-            block_size: 16,
+            blocks_each: 5,
+            block_least: 16,
+            block_most: 48,
             member_lease: Duration::from_millis(3000),
             idle_return: Duration::from_secs(12),
             idle_spot: Duration::from_secs(20),
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -13,8 +13,8 @@
 use rmpv::Value;
 
 use crate::records::{
-    BlockId, BlockRecord, ChunkRecord, JobRecord, Key, MachineRecord, MemberRecord, Phase, Place,
-    from_value,
+    BlockId, BlockRecord, ChunkRecord, JobRecord, Key, MachineList, MachineRecord, MemberRecord,
+    Phase, Place, from_value,
 };
 
 /// A job as recorded.
@@ -142,6 +142,10 @@
     pub machines: BTreeMap<String, Versioned<MachineRecord>>,
     /// The machines of each block.
     pub in_block: BTreeMap<BlockId, BTreeSet<String>>,
+    /// The version of each block's list of machines.
+    pub lists: BTreeMap<BlockId, u64>,
+    /// Machines that the last change has brought or taken.
+    pub news: Vec<String>,
     /// The jobs.
     pub jobs: HashMap<JobId, Job>,
     /// Jobs on which something is left to do.
@@ -173,7 +177,7 @@
             Key::Leader => self.leader.as_ref().map_or(0, |r| r.version),
             Key::Member(name) => self.members.get(name).map_or(0, |r| r.version),
             Key::Block(id) => self.blocks.get(id).map_or(0, |r| r.version),
-            Key::Machine(name) => self.machines.get(name).map_or(0, |r| r.version),
+            Key::Machines(id) => self.lists.get(id).copied().unwrap_or(0),
             Key::Job(id) => self.jobs.get(id).map_or(0, |j| j.version),
             Key::Chunk(id, part) => self.chunk_version(id, *part),
             Key::Settings => self.settings.as_ref().map_or(0, |r| r.version),
@@ -208,14 +212,9 @@
                 let record = from_value(value)?;
                 self.blocks.insert(*id, Versioned { version, record });
             }
-            Key::Machine(name) => {
-                let record: MachineRecord = from_value(value)?;
-                self.in_block
-                    .entry(record.block)
-                    .or_default()
-                    .insert(name.clone());
-                self.machines
-                    .insert(name.clone(), Versioned { version, record });
+            Key::Machines(id) => {
+                let list: MachineList = from_value(value)?;
+                self.put_list(*id, list, version);
             }
             Key::Job(id) => {
                 let record: JobRecord = from_value(value)?;
@@ -241,6 +240,34 @@
         Some(key)
     }
 
+    /// Follows a block's list; the machines that came or went are `news`.
+    fn put_list(&mut self, id: BlockId, list: MachineList, version: u64) {
+        self.lists.insert(id, version);
+        let old = self.in_block.remove(&id).unwrap_or_default();
+        let mut names = BTreeSet::new();
+        for machine in list.machines {
+            names.insert(machine.name.clone());
+            if old.contains(&machine.name) {
+                continue;
+            }
+            self.news.push(machine.name.clone());
+            let record = MachineRecord {
+                block: id,
+                kind: machine.kind,
+                zone: list.zone.clone(),
+                spot: machine.spot,
+                addr: machine.addr,
+            };
+            self.machines
+                .insert(machine.name, Versioned { version, record });
+        }
+        for name in old.difference(&names) {
+            self.machines.remove(name);
+            self.news.push(name.clone());
+        }
+        self.in_block.insert(id, names);
+    }
+
     fn put_job(&mut self, id: &JobId, record: JobRecord, version: u64) {
         let job = self.jobs.entry(id.clone()).or_insert_with(|| Job {
             version: 0,
@@ -287,12 +314,9 @@
             Key::Block(id) => {
                 self.blocks.remove(id);
             }
-            Key::Machine(name) => {
-                if let Some(gone) = self.machines.remove(name)
-                    && let Some(all) = self.in_block.get_mut(&gone.record.block)
-                {
-                    all.remove(name);
-                }
+            Key::Machines(id) => {
+                self.put_list(*id, MachineList::default(), version);
+                self.lists.remove(id);
             }
             Key::Job(id) => {
                 self.jobs.remove(id);
