--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -84,6 +84,12 @@
             log::debug!("{id}: refused: {why}");
             return self.refuse(conn, 422, why);
         }
+        log::debug!(
+            "{id}: submitted: {}, {} tasks, image {}",
+            spec.class,
+            spec.tasks,
+            spec.image
+        );
         let record = JobRecord {
             phase: Phase::Open,
             tasks: spec.tasks,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use oliveshift_policy::fleet::{Coming, Offer, Want, count_on, to_rent};
+use oliveshift_policy::{
+    fleet::{Coming, Offer, Want, count_on, suits, to_rent},
+    score::fits,
+};
 use oliveshift_wire::{
     JobId,
     cloud::{Listed, MachineList, MachinePhase, Rent},
@@ -31,6 +34,8 @@
 /// lease is over.
 const EARLY_SPAN: Duration = Duration::from_secs(60);
 const EARLY_SHARE: usize = 8;
+/// How often the fleet is summed up in the log.
+const SAY_PERIOD: Duration = Duration::from_secs(5);
 /// How often the leader looks for machines to return.
 const RETURNS_PERIOD: Duration = Duration::from_millis(250);
 /// Of the idle machines, one in so many is returned at a time.
@@ -70,6 +75,7 @@
     lag: Duration,
     rent_at: Duration,
     returns_at: Duration,
+    said_at: Duration,
 }
 
 impl Fleet {
@@ -92,6 +98,7 @@
             claims: 0,
             wants: Vec::new(),
             returns_at: Duration::ZERO,
+            said_at: Duration::ZERO,
             noted: BTreeMap::new(),
             wanting_since: None,
             leaving: BTreeMap::new(),
@@ -133,6 +140,10 @@
         self.rent();
         self.choose_returns();
         self.send_returns();
+        if self.now >= self.fleet.said_at + SAY_PERIOD {
+            self.fleet.said_at = self.now;
+            self.say_fleet();
+        }
         let (now, machines) = (self.now, &self.view.machines);
         let shown = self.fleet.lag * 4 + LIST_PERIOD * 3;
         self.fleet
@@ -140,6 +151,31 @@
             .retain(|name, at| machines.contains_key(name) || now < *at + shown);
     }
 
+    /// Sums up the fleet for the log.
+    fn say_fleet(&self) {
+        let mut kinds: BTreeMap<(&str, bool), [f64; 6]> = BTreeMap::new();
+        for room in self.leader.iter().flat_map(|l| &l.rooms.list) {
+            let sums = kinds.entry((&room.kind, room.spot)).or_default();
+            let services = room.kept * room.candidate.total.cpus;
+            sums[0] += 1.0;
+            sums[1] += room.candidate.total.cpus;
+            sums[2] += room.candidate.total.cpus - room.free.cpus;
+            sums[3] += services;
+            sums[4] += f64::from(room.idle_since.is_some());
+            sums[5] += f64::from(!room.usable);
+        }
+        for ((kind, spot), [machines, total, used, services, idle, unusable]) in kinds {
+            let spot = if spot { "spot" } else { "ordinary" };
+            log::debug!(
+                "fleet: {kind} {spot}: {machines} machines, {total} processors, {used} in use, \
+                 {services} by services; {idle} idle, {unusable} not usable"
+            );
+        }
+        let coming = self.coming().len();
+        let wants: u32 = self.fleet.wants.iter().map(|w| w.tasks).sum();
+        log::debug!("fleet: {coming} coming, {wants} tasks without room");
+    }
+
     fn read_list(&mut self) {
         let now = self.now;
         if self.fleet.listing || now < self.fleet.list_at {
@@ -254,6 +290,14 @@
         wants
     }
 
+    /// Whether some work without room could use the machine if it were empty.
+    fn is_wanted(&self, room: &Room) -> bool {
+        let offer = room.coming().offer;
+        let total = &room.candidate.total;
+        let mut wants = self.fleet.wants.iter();
+        wants.any(|w| w.tasks > 0 && fits(&w.need, total) && suits(w, &offer))
+    }
+
     fn usable_rooms(&self) -> impl Iterator<Item = &Room> {
         let rooms = self.leader.iter().flat_map(|l| &l.rooms.list);
         rooms.filter(|r| r.usable && !r.closed)
@@ -426,7 +470,6 @@
                 _ => {}
             }
         }
-        let wanting = !self.fleet.wants.is_empty();
         let mut idle = Vec::new();
         let mut early = Vec::new();
         for room in self.leader.iter().flat_map(|l| &l.rooms.list) {
@@ -457,8 +500,8 @@
                 returns.push((name.clone(), "its tasks fail"));
             } else if let Some(since) = room.idle_since
                 && now.saturating_sub(since) > self.idle_limit(room.spot)
-                && !wanting
                 && room.usable
+                && !self.is_wanted(room)
             {
                 idle.push((now.saturating_sub(since), name.clone()));
             }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -103,7 +103,8 @@
     left
 }
 
-fn suits(want: &Want, offer: &Offer) -> bool {
+/// Whether a machine of a kind may take a want's tasks.
+pub fn suits(want: &Want, offer: &Offer) -> bool {
     (want.spot || !offer.spot)
         && want.zones.contains(&offer.zone)
         && want.types.as_ref().is_none_or(|t| t.contains(&offer.kind))
