Work with a start aim gets ordinary machines sooner, and a reserve that covers boot and fetch

Change: patience ends where the aim to start could no longer be met; the reserve covers all classes whose aim is shorter than a slow boot and the fetch.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -34,6 +34,8 @@
 /// lease is over.
 const EARLY_SPAN: Duration = Duration::from_secs(60);
 const EARLY_SHARE: usize = 8;
+/// What the slower ones of the usual boots take, in usual boot times.
+const SLOW_BOOT: f64 = 1.5;
 /// How often the fleet is summed up in the log.
 const SAY_PERIOD: Duration = Duration::from_secs(5);
 /// How often the leader looks for machines to return.
@@ -257,17 +259,37 @@
         coming
     }
 
+    /// How long a task takes to start on a machine rented for it, if nothing
+    /// goes wrong: it boots and fetches the image.
+    fn fresh_start_s(&self, spec: &JobSpec) -> f64 {
+        let rate = self.types.values().map(|t| t.fetch_gb_per_s);
+        let rate = rate.fold(f64::MIN_POSITIVE, f64::max);
+        self.shortest_boot_s() * SLOW_BOOT + spec.image_gb / rate
+    }
+
+    /// How long work that may use spot machines waits for them before it gets
+    /// ordinary ones: less where an aim says how soon it has to start.
+    pub(crate) fn spot_patience_s(&self, spec: &JobSpec) -> f64 {
+        let aims = self.settings.params.objectives.iter();
+        let mine = aims.filter(|a| a.kind == "wait" && a.class.as_deref() == Some(&*spec.class));
+        let within = mine.filter_map(|a| a.within_s).reduce(f64::min);
+        let most = self.tuning.spot_patience * self.shortest_boot_s();
+        match within {
+            Some(within) => (within - self.fresh_start_s(spec)).clamp(0.0, most),
+            None => most,
+        }
+    }
+
     /// Room to be kept free: for classes that have to start sooner than any
-    /// machine boots, a job of the size that covers the aim's share of them.
+    /// machine rented for them could serve them, a job of the size that covers the aim's share of them.
     /// Only spot room is kept so: ordinary room is made by preemption, and a
     /// reserve of it would be paid for at all hours.
     fn reserve(&self) -> Vec<Want> {
-        let boot = self.shortest_boot_s();
         let zones = &self.settings.params.zones;
         let mut wants = Vec::new();
         for aim in &self.settings.params.objectives {
-            let tight = aim.kind == "wait" && aim.within_s.is_some_and(|s| s < boot);
-            let Some(class) = aim.class.as_ref().filter(|_| tight) else {
+            let within = aim.within_s.filter(|_| aim.kind == "wait");
+            let (Some(class), Some(within)) = (&aim.class, within) else {
                 continue;
             };
             let noted = self.fleet.noted.values().map(|(_, spec)| spec);
@@ -278,6 +300,9 @@
             let Some(spec) = jobs.get(at.saturating_sub(1)).filter(|s| s.spot) else {
                 continue;
             };
+            if within >= self.fresh_start_s(spec) {
+                continue;
+            }
             wants.push(Want {
                 need: spec.amounts(),
                 tasks: spec.tasks,
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -511,7 +511,7 @@
                 .min(by_limit(share.limit.0, used.cpus, need.cpus))
                 .min(by_limit(share.limit.1, used.gpus, need.gpus));
             let waited = self.day.as_millis() as f64 / 1e3 - job_at;
-            let patience = self.tuning.spot_patience * self.shortest_boot_s();
+            let patience = self.spot_patience_s(&spec);
             plan.wants.push(Want {
                 spot_only: spec.spot && waited < patience,
                 need,
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -90,6 +90,9 @@
         let Some(job) = self.view.jobs.get(id) else {
             return;
         };
+        if job.phase == Phase::Done && job.spec.is_none() {
+            log::debug!("{id}: done");
+        }
         if job.phase != Phase::Cancelled {
             return;
         }
