Work that can still keep its aims goes first; large writes and users' reads no longer starve

(2) Followers' writes went to tasks whose recording can wait. (3) In a burst beyond all capacity, arrival order made every job late.

Changes: what is larger than the bucket goes when it is full, and nothing is taken from one budget when the other has too little; reads for users are kept apart; what presses is recorded first, the rest within 8 s; hand-outs of a job that nobody looks at come at most four a second; within priority and guarantee, jobs go first that can still keep more of their aims, and arrival order decides after that; one that has waited three times its last aim is not put behind any more.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -38,16 +38,24 @@
         self.at = now;
     }
 
-    /// Takes `cost` if that leaves the share `reserve` of a full bucket for
-    /// what matters more.
-    pub fn take(&mut self, now: Duration, cost: f64, reserve: f64) -> bool {
+    /// Whether `cost` can be had so that the share `reserve` of a full bucket
+    /// is left for what matters more. What is larger than that ever allows
+    /// goes when the bucket is full: a job whose last write was too large for
+    /// a small share was never recorded as done.
+    pub fn has(&mut self, now: Duration, cost: f64, reserve: f64) -> bool {
         self.refill(now);
         let floor = self.burst * reserve;
-        let fits = self.tokens - cost >= floor || (reserve <= 0.0 && self.tokens >= self.burst);
-        if fits {
+        let large = cost > self.burst - floor && self.tokens >= self.burst - 1e-9;
+        self.tokens - cost >= floor || large
+    }
+
+    /// Takes `cost` if it can be had.
+    pub fn take(&mut self, now: Duration, cost: f64, reserve: f64) -> bool {
+        let has = self.has(now, cost, reserve);
+        if has {
             self.tokens -= cost;
         }
-        fits
+        has
     }
 
     /// Takes `cost` in any case; what follows waits the longer.
@@ -62,3 +70,30 @@
         self.tokens = self.tokens.min(0.0);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_larger_than_the_bucket_goes_when_it_is_full() {
+        let s = Duration::from_secs;
+        let mut budget = Budget::new(2.9, 1.0);
+        assert!(budget.take(s(0), 3.0, 0.05));
+        assert!(!budget.take(s(0), 1.0, 0.05), "it is paid for afterwards");
+        assert!(!budget.has(s(1), 3.0, 0.05));
+        assert!(budget.take(s(3), 3.0, 0.4));
+    }
+
+    #[test]
+    fn a_reserve_is_left_to_what_matters_more() {
+        let now = Duration::ZERO;
+        let mut budget = Budget::new(10.0, 1.0);
+        assert!(budget.take(now, 5.0, 0.5));
+        assert!(!budget.take(now, 1.0, 0.5));
+        assert!(budget.take(now, 5.0, 0.0));
+        assert!(!budget.take(now, 1.0, 0.0));
+        assert!(budget.take(now, 10.0, -1.0), "on credit");
+        assert!(!budget.has(now, 1.0, -1.0));
+    }
+}
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -14,7 +14,7 @@
 use oliveshift_policy::{
     Candidate, Task, Weights,
     fleet::{Want, how_many},
-    queue::{Rank, may_preempt},
+    queue::{Rank, may_preempt, missed},
     score::{fits, plus, score},
 };
 use oliveshift_wire::{
@@ -37,6 +37,9 @@
 const PLAN_GAP_EACH: Duration = Duration::from_micros(100);
 /// The time after which a plan is made even without news.
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
+/// The least time between two hand-outs of a job that nobody looks at: each
+/// is a write, and holds up those that record what is done.
+const HANDOUT_GAP: Duration = Duration::from_millis(250);
 /// How long a task that was asked to make room is expected to do so.
 const ASKED: Duration = Duration::from_secs(8);
 /// How often a plan may look through all machines for work to stop.
@@ -314,7 +317,12 @@
             }
             if job.waiting() > 0 {
                 queue.push(Queued {
-                    rank: Rank::new(spec.priority, guaranteed, latest_start(at, spec)),
+                    rank: Rank::new(
+                        spec.priority,
+                        guaranteed,
+                        self.missed(at, spec),
+                        latest_start(at, spec),
+                    ),
                     id: id.clone(),
                     guaranteed,
                 });
@@ -329,6 +337,24 @@
         queue
     }
 
+    /// How many of its aims a job can't keep any more.
+    fn missed(&self, arrived_ms: u64, spec: &JobSpec) -> u32 {
+        if spec.priority == Priority::Production {
+            return 0;
+        }
+        let day = self.day.as_millis() as u64;
+        let waited = day.saturating_sub(arrived_ms) as f64 / 1e3;
+        let aims = self.settings.params.objectives.iter();
+        let mine = aims.filter(|a| a.class.as_deref() == Some(&*spec.class));
+        let latest = mine.filter_map(|aim| match aim.kind.as_str() {
+            "wait" => aim.within_s,
+            "finished" => Some(aim.within_s? - spec.estimate_s),
+            "deadline" => Some(spec.deadline_s? * aim.times.unwrap_or(1.0) - spec.estimate_s),
+            _ => None,
+        });
+        missed(waited, &latest.collect::<Vec<_>>())
+    }
+
     /// The machine types that a job's tasks fit.
     fn types_for(&self, spec: &JobSpec) -> BTreeSet<String> {
         let types = self.types.values();
@@ -536,6 +562,15 @@
         let Some(job) = self.view.jobs.get(id) else {
             return;
         };
+        let recent = self.leader.as_ref().and_then(|l| l.handed_at.get(id));
+        let people_wait = job.spec.as_ref().map(|s| s.priority) == Some(Priority::Production);
+        if !people_wait && recent.is_some_and(|at| self.now < *at + HANDOUT_GAP) {
+            // Room gets free bit by bit; its place in the queue is kept.
+            if let Some(leader) = &mut self.leader {
+                leader.plan_due = true;
+            }
+            return;
+        }
         let (first, count) = job.chunk_span(part);
         let mut places = match job.chunks.get(&part) {
             Some(chunk) => chunk.places.clone(),
@@ -581,6 +616,11 @@
             }
             return;
         }
+        let now = self.now;
+        if let Some(leader) = &mut self.leader {
+            leader.handed_at.retain(|_, at| now < *at + HANDOUT_GAP);
+            leader.handed_at.insert(id.clone(), now);
+        }
         for (index, at) in tasks {
             let task = id.task(*index);
             let machine = plan.rooms.list[*at].name.clone();
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -54,6 +54,8 @@
     pub rooms: Rooms,
     /// When each task was last asked to make room.
     pub asked: BTreeMap<TaskId, Duration>,
+    /// When tasks of each job were handed out last.
+    pub handed_at: BTreeMap<JobId, Duration>,
     /// The machine on which each task was counted at hand-out.
     pub planned: BTreeMap<TaskId, String>,
     /// The write of machine lists under way.
@@ -94,6 +96,7 @@
                     up: BTreeMap::new(),
                     rooms: Rooms::default(),
                     asked: BTreeMap::new(),
+                    handed_at: BTreeMap::new(),
                     planned: BTreeMap::new(),
                     lists: None,
                     making: BTreeMap::new(),
--- a/crates/core/src/recorder.rs
+++ b/crates/core/src/recorder.rs
@@ -19,7 +19,7 @@
 const GATHER: Duration = Duration::from_millis(60);
 /// How long what is not pressing is gathered, and when it presses all the same.
 const GATHER_MORE: Duration = Duration::from_millis(600);
-const PATIENCE: Duration = Duration::from_millis(2500);
+const PATIENCE: Duration = Duration::from_secs(8);
 /// How long to wait after a write that got no answer.
 const RETRY: Duration = Duration::from_millis(400);
 
@@ -82,14 +82,25 @@
             .filter(|(chunk, news)| now >= news.look_at && !self.busy.contains_key(*chunk))
             .map(|(chunk, news)| (chunk.clone(), news.since))
             .collect();
+        let mut todo = Vec::new();
         for ((id, part), since) in due {
-            let urgency = if self.is_pressing(&id, part) || now >= since + PATIENCE {
-                Urgency::Safety
+            if self.is_pressing(&id, part) {
+                todo.push((0, since, id, part));
+            } else if now >= since + PATIENCE {
+                todo.push((1, since, id, part));
             } else if now >= since + GATHER_MORE {
-                Urgency::Later
+                todo.push((2, since, id, part));
             } else {
                 self.look_again(id, part, since + GATHER_MORE);
-                continue;
+            }
+        }
+        // What presses goes first, as there may not be enough for all.
+        todo.sort();
+        for (rank, _, id, part) in todo {
+            let urgency = if rank < 2 {
+                Urgency::Safety
+            } else {
+                Urgency::Later
             };
             match self.chunk_news(&id, part) {
                 None => {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -37,7 +37,7 @@
 const SHARE: f64 = 0.92;
 /// The leader's part of the writes, and how many followers' part of the
 /// requests it has.
-const LEADER_SHARE: f64 = 0.5;
+const LEADER_SHARE: f64 = 0.4;
 const LEADER_REQUESTS: f64 = 2.0;
 
 /// What a transaction is for.
@@ -102,10 +102,13 @@
             // Users come first, on credit: they are few, and what they are
             // told to repeat costs them a second.
             Self::User => -1.0,
+            // Reads for users are kept apart by themselves. With something
+            // left to others, they starved for minutes, and nobody was told
+            // that their work was done.
+            Self::Read => -0.5,
             Self::Safety => 0.05,
             Self::Handout => 0.15,
-            Self::Read => 0.2,
-            Self::Later => 0.4,
+            Self::Later => 0.5,
             Self::Tidy => 0.5,
         }
     }
@@ -536,7 +539,13 @@
 
     pub(crate) fn read_done(&mut self, after: u64, sent: Duration, asks: Vec<Ask>, reply: &Reply) {
         self.store.read_pending = false;
-        let fresh = self.take_events(after, sent, reply) && self.store.loading.is_none();
+        let taken = self.take_events(after, sent, reply);
+        if taken {
+            // It served as a watch as well.
+            let gap = self.gap(WATCH_GAP, WATCH_SHARE);
+            self.store.watch_at = self.store.watch_at.max(sent + gap);
+        }
+        let fresh = taken && self.store.loading.is_none();
         self.asks_read(asks, fresh);
         self.read_for_asks();
     }
@@ -547,10 +556,15 @@
         if urgency == Urgency::Session {
             self.store.requests.force(self.now, 1.0);
             self.store.writes.force(self.now, puts);
-        } else if !self.store.requests.take(self.now, 1.0, urgency.reserve())
-            || !self.store.writes.take(self.now, puts, urgency.reserve())
-        {
-            return false;
+        } else {
+            // Nothing is taken from one budget when the other has too little:
+            // tries that fail would use it up for everybody else.
+            let (now, reserve) = (self.now, urgency.reserve());
+            let store = &mut self.store;
+            if !store.requests.has(now, 1.0, reserve) || !store.writes.take(now, puts, reserve) {
+                return false;
+            }
+            store.requests.take(now, 1.0, reserve);
         }
         log::debug!("writes {puts}: {}, {urgency:?}", purpose.name());
         let body = encode(&txn);
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -107,6 +107,9 @@
     /// The share that should make it.
     #[serde(default)]
     pub share: Option<f64>,
+    /// For deadlines: within how many times the deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 /// Workers' timing.
