--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -49,6 +49,12 @@
         self.tokens - cost >= floor || large
     }
 
+    /// Whether there is so much left that nothing needs to be spared.
+    pub fn is_rich(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        self.tokens >= 0.75 * self.burst
+    }
+
     /// Takes `cost` if it can be had.
     pub fn take(&mut self, now: Duration, cost: f64, reserve: f64) -> bool {
         let has = self.has(now, cost, reserve);
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -559,12 +559,14 @@
         let Some(lead) = self.leader_cond() else {
             return;
         };
+        let spare = !self.writes_are_rich();
         let Some(job) = self.view.jobs.get(id) else {
             return;
         };
         let recent = self.leader.as_ref().and_then(|l| l.handed_at.get(id));
         let people_wait = job.spec.as_ref().map(|s| s.priority) == Some(Priority::Production);
-        if !people_wait && recent.is_some_and(|at| self.now < *at + HANDOUT_GAP) {
+        let recent = recent.is_some_and(|at| self.now < *at + HANDOUT_GAP);
+        if !people_wait && recent && spare {
             // Room gets free bit by bit; its place in the queue is kept.
             if let Some(leader) = &mut self.leader {
                 leader.plan_due = true;
--- a/crates/core/src/recorder.rs
+++ b/crates/core/src/recorder.rs
@@ -88,7 +88,7 @@
                 todo.push((0, since, id, part));
             } else if now >= since + PATIENCE {
                 todo.push((1, since, id, part));
-            } else if now >= since + GATHER_MORE {
+            } else if now >= since + GATHER_MORE || self.writes_are_rich() {
                 todo.push((2, since, id, part));
             } else {
                 self.look_again(id, part, since + GATHER_MORE);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -550,6 +550,11 @@
         self.read_for_asks();
     }
 
+    /// Whether writes need not be spared.
+    pub(crate) fn writes_are_rich(&mut self) -> bool {
+        self.store.writes.is_rich(self.now)
+    }
+
     /// Sends a transaction if the budget allows; false: try again later.
     pub(crate) fn txn(&mut self, txn: Txn, purpose: Purpose, urgency: Urgency) -> bool {
         let puts = txn.changes.len() as f64;
