--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -5,8 +5,7 @@
 //! whose write may still take effect.
 
 use std::{
-    cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -15,7 +14,8 @@
     Candidate, Task, Weights,
     fleet::{Want, how_many},
     queue::{Rank, may_preempt, missed},
-    score::{fits, plus, score},
+    ranking::Ranking,
+    score::{fits, plus},
 };
 use oliveshift_wire::{
     JobId, TaskId,
@@ -90,79 +90,28 @@
     }
 }
 
-/// The machines that a task fits on, the top scorer first; of equals, the
-/// first by name. All tasks of a job score alike, so after each choice only
-/// the chosen machine has to be scored again.
-struct Ranking {
-    heap: BinaryHeap<Scored>,
-    task: Task,
-}
-
-struct Scored {
-    sum: f64,
-    at: usize,
-}
-
-impl Ord for Scored {
-    fn cmp(&self, other: &Self) -> Ordering {
-        let by_sum = self.sum.total_cmp(&other.sum);
-        by_sum.then_with(|| other.at.cmp(&self.at))
+/// A machine as a candidate for a job's tasks.
+fn candidate(room: &Room, spec: &JobSpec) -> Candidate {
+    Candidate {
+        cached_gb: room.cached(spec),
+        ..room.candidate.clone()
     }
 }
 
-impl PartialOrd for Scored {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
+/// The machines that a job's tasks fit on.
+fn ranking(rooms: &[Room], spec: &JobSpec, avoid: &BTreeSet<String>, weights: &Weights) -> Ranking {
+    let need = spec.amounts();
+    let all = rooms.iter().enumerate();
+    let open = all.filter(|(_, r)| {
+        fits(&need, &r.candidate.free) && r.takes(spec) && !avoid.contains(&r.kind)
+    });
+    let candidates = open.map(|(at, room)| (at, candidate(room, spec)));
+    Ranking::new(Task::from(spec), candidates, weights)
 }
 
-impl PartialEq for Scored {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Scored {}
-
-impl Ranking {
-    fn new(rooms: &[Room], spec: &JobSpec, avoid: &BTreeSet<String>, weights: &Weights) -> Self {
-        let mut ranking = Self {
-            heap: BinaryHeap::new(),
-            task: Task::from(spec),
-        };
-        let all = rooms.iter().enumerate();
-        let open = all.filter(|(_, r)| {
-            fits(&ranking.task.need, &r.candidate.free) && r.takes(spec) && !avoid.contains(&r.kind)
-        });
-        let scored = open.filter_map(|(at, room)| ranking.rate(at, room, spec, weights));
-        ranking.heap = scored.collect();
-        ranking
-    }
-
-    fn rate(&self, at: usize, room: &Room, spec: &JobSpec, weights: &Weights) -> Option<Scored> {
-        let candidate = Candidate {
-            cached_gb: room.cached(spec),
-            ..room.candidate.clone()
-        };
-        let sum = score(&self.task, &candidate, weights)?;
-        Some(Scored { sum, at })
-    }
-
-    /// The top scorer in a zone that is still open. Zones only close.
-    fn top(&mut self, rooms: &[Room], zone_ok: impl Fn(&str) -> bool) -> Option<usize> {
-        while let Some(Scored { at, .. }) = self.heap.pop() {
-            if zone_ok(&rooms[at].zone) {
-                return Some(at);
-            }
-        }
-        None
-    }
-
-    /// A task went there.
-    fn rescore(&mut self, at: usize, room: &Room, spec: &JobSpec, weights: &Weights) {
-        let scored = self.rate(at, room, spec, weights);
-        self.heap.extend(scored);
-    }
+/// The top scorer in a zone that is still open. Zones only close.
+fn top(ranking: &mut Ranking, rooms: &[Room], zone_ok: impl Fn(&str) -> bool) -> Option<usize> {
+    std::iter::from_fn(|| ranking.pop()).find(|at| zone_ok(&rooms[*at].zone))
 }
 
 impl Controller {
@@ -442,7 +391,7 @@
             (rooms, plan.used.clone())
         });
         let signature = Need::new(&spec, !avoid.is_empty());
-        let mut ranking = None;
+        let mut scored = None;
         let mut parts: Vec<(u32, Vec<(u32, usize)>)> = Vec::new();
         let mut full = false;
         let mut limited = false;
@@ -474,18 +423,16 @@
                         && only.as_deref().is_none_or(|z| z == zone)
                 };
                 let weights = &self.tuning.weights;
-                let ranking = ranking.get_or_insert_with(|| {
-                    if plan.full.contains(&signature) {
-                        Ranking::new(&[], &spec, &avoid, weights)
-                    } else {
-                        let ranking = Ranking::new(&plan.rooms.list, &spec, &avoid, weights);
-                        if ranking.heap.is_empty() {
-                            plan.full.insert(signature.clone());
-                        }
-                        ranking
+                let scored = scored.get_or_insert_with(|| {
+                    let none = plan.full.contains(&signature);
+                    let rooms = if none { &[] } else { &plan.rooms.list[..] };
+                    let scored = ranking(rooms, &spec, &avoid, weights);
+                    if scored.is_empty() {
+                        plan.full.insert(signature.clone());
                     }
+                    scored
                 });
-                let Some(at) = ranking.top(&plan.rooms.list, zone_ok) else {
+                let Some(at) = top(scored, &plan.rooms.list, zone_ok) else {
                     full = true;
                     break;
                 };
@@ -494,7 +441,7 @@
                 }
                 let room = &mut plan.rooms.list[at];
                 room.take(&spec);
-                ranking.rescore(at, room, &spec, weights);
+                scored.put(at, &candidate(room, &spec), weights);
                 *in_zone.entry(room.zone.clone()).or_default() += 1;
                 tasks.push((index, at));
                 left -= 1;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,11 +1,13 @@
 //! What goes where, as pure functions: no clock, no I/O, no hidden state.
 //!
 //! [`score`] holds the paper's image score, load gate and base score;
+//! [`ranking`] the top scorers for many tasks that are alike;
 //! [`queue`] the order in which waiting work is served; [`fleet`] how many
 //! machines of which kind the waiting work asks for.
 
 pub mod fleet;
 pub mod queue;
+pub mod ranking;
 pub mod score;
 
 pub use score::{Candidate, Task, Weights, best};
--- /dev/null
+++ b/crates/policy/src/ranking.rs
@@ -0,0 +1,74 @@
+//! The top scorers of many machines for many tasks that are alike.
+
+use std::{cmp::Ordering, collections::BinaryHeap};
+
+use crate::score::{Candidate, Task, Weights, score};
+
+/// The machines that a task fits on, the top scorer first; of equals, the one
+/// with the smallest number. All tasks of a job score alike, so after each
+/// choice only the chosen machine has to be scored again.
+#[derive(Debug)]
+pub struct Ranking {
+    task: Task,
+    heap: BinaryHeap<Scored>,
+}
+
+#[derive(Debug)]
+struct Scored {
+    sum: f64,
+    at: usize,
+}
+
+impl Ranking {
+    /// Scores the machines, which are numbered.
+    pub fn new(
+        task: Task,
+        machines: impl Iterator<Item = (usize, Candidate)>,
+        weights: &Weights,
+    ) -> Self {
+        let scored = machines.filter_map(|(at, candidate)| {
+            let sum = score(&task, &candidate, weights)?;
+            Some(Scored { sum, at })
+        });
+        let heap = scored.collect();
+        Self { task, heap }
+    }
+
+    /// Whether no machine is left.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
+    /// Takes the top scorer out.
+    pub fn pop(&mut self) -> Option<usize> {
+        self.heap.pop().map(|scored| scored.at)
+    }
+
+    /// Puts a machine back, with the room that it has now.
+    pub fn put(&mut self, at: usize, candidate: &Candidate, weights: &Weights) {
+        if let Some(sum) = score(&self.task, candidate, weights) {
+            self.heap.push(Scored { sum, at });
+        }
+    }
+}
+
+impl Ord for Scored {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_sum = self.sum.total_cmp(&other.sum);
+        by_sum.then_with(|| other.at.cmp(&self.at))
+    }
+}
+
+impl PartialOrd for Scored {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Scored {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Scored {}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use faults::{Fault, draw};
 pub use rules::{Broken, Rules};
-pub use world::{Outcome, World};
+pub use world::{Load, Outcome, Size, World};
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -13,6 +13,7 @@
     JobId, decode, encode,
     job::{JobSpec, JobStatus, Priority, Shape},
     settings::Settings,
+    state::Txn,
     worker::{DirectOrders, Redirect, ReportAnswer},
 };
 
@@ -45,6 +46,51 @@
     pub accepted: usize,
     /// The longest that a worker waited for an answer to a report.
     pub slowest_answer: Duration,
+    /// What the controllers asked of the outside.
+    pub load: Load,
+}
+
+/// Counts of what the controllers send.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// Requests to the state service, by second.
+    pub requests: BTreeMap<u64, usize>,
+    /// Changes in transactions, by second.
+    pub writes: BTreeMap<u64, usize>,
+    /// Bytes told to peers.
+    pub peer_bytes: usize,
+    /// Direct orders to workers.
+    pub orders: usize,
+}
+
+/// How large a world is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Machines up at the start.
+    pub machines: usize,
+    /// Jobs that users submit.
+    pub jobs: usize,
+    /// By how much jobs, limits and what can be rented are larger.
+    pub factor: u32,
+    /// Requests and changes a second that the state service takes.
+    pub state: (u32, u32),
+}
+
+impl Size {
+    /// A handful of machines.
+    pub const SMALL: Self = Self {
+        machines: 6,
+        jobs: 24,
+        factor: 1,
+        state: (120, 40),
+    };
+    /// Hundreds of machines, at a state service with narrow limits.
+    pub const GROWN: Self = Self {
+        machines: 280,
+        jobs: 70,
+        factor: 20,
+        state: (100, 25),
+    };
 }
 
 struct Node {
@@ -114,11 +160,12 @@
     sabotage: Option<Sabotage>,
     next_id: u64,
     slowest_answer: Duration,
+    load: Load,
     /// Watches the rules.
     pub rules: Rules,
 }
 
-fn settings(node: usize) -> Settings {
+fn settings(node: usize, size: Size) -> Settings {
     let peer = |i: usize| {
         format!(
             r#"{{"member":"n-{i}","site":"{}","endpoint":"10.0.0.{}:81"}}"#,
@@ -131,14 +178,20 @@
         r#"{{"member":"n-{node}","site":"{}","bind":"10.0.0.{}:80","internal_addr":"10.0.0.{}:81",
         "members":[{}],"outside":{{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"}},
         "deployment":{{"zones":["east","west"],"teams":[
-          {{"name":"red","cpus":12,"cpus_max":40}},{{"name":"blue","cpus":8,"cpus_max":24}}],
+          {{"name":"red","cpus":{},"cpus_max":{}}},{{"name":"blue","cpus":{},"cpus_max":{}}}],
         "workers":{{"report_s":2.0,"lease_s":12.0,"cancel_s":30.0}},
-        "state":{{"rps":120,"write_rps":40,"value_kb":16,"txn_ops":20}},
+        "state":{{"rps":{},"write_rps":{},"value_kb":16,"txn_ops":20}},
         "cloud":{{"rps":6,"list_lag_s":3}},"limits":{{"max_sockets":1000}}}}}}"#,
         ZONES[node % 2],
         node + 1,
         node + 1,
-        peers.join(",")
+        peers.join(","),
+        12 * size.factor,
+        40 * size.factor,
+        8 * size.factor,
+        24 * size.factor,
+        size.state.0,
+        size.state.1,
     );
     Settings::parse(&text).expect("the settings are good")
 }
@@ -146,14 +199,28 @@
 impl World {
     /// A world with some machines up, and users who submit jobs until `busy`.
     pub fn new(seed: u64, busy: Duration, faults: Vec<Fault>, sabotage: Option<Sabotage>) -> Self {
+        Self::sized(Size::SMALL, seed, busy, faults, sabotage)
+    }
+
+    /// The same in another size.
+    pub fn sized(
+        size: Size,
+        seed: u64,
+        busy: Duration,
+        faults: Vec<Fault>,
+        sabotage: Option<Sabotage>,
+    ) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let zones: Vec<String> = ZONES.map(String::from).to_vec();
-        let limits = [("red".to_owned(), 40.0), ("blue".to_owned(), 24.0)];
+        let limits = [("red", 40.0), ("blue", 24.0)]
+            .map(|(team, cpus)| (team.to_owned(), cpus * f64::from(size.factor)));
         let rules = Rules::new(limits.into(), Duration::from_secs(30));
-        let users = (0..24).map(|i| draw_user(&mut rng, i, busy)).collect();
+        let users = (0..size.jobs)
+            .map(|i| draw_user(&mut rng, i, busy, size.factor))
+            .collect();
         let nodes = (0..NODES).map(|i| Node {
             controller: None,
-            settings: settings(i),
+            settings: settings(i, size),
             life: 0,
             back_at: Duration::ZERO,
             started: Duration::ZERO,
@@ -177,11 +244,13 @@
             sabotage,
             next_id: 0,
             slowest_answer: Duration::ZERO,
+            load: Load::default(),
             rules,
             rng,
         };
-        for i in 0..6 {
-            let kind = if i < 4 { "small" } else { "large" };
+        world.cloud.capacity *= size.factor as usize;
+        for i in 0..size.machines {
+            let kind = if i % 6 < 4 { "small" } else { "large" };
             world.cloud.give(Duration::ZERO, kind, ZONES[i % 2], false);
         }
         world.at(Duration::ZERO, Event::Step);
@@ -226,6 +295,7 @@
             open: self.rules.open(),
             started: self.rules.started,
             slowest_answer: self.slowest_answer,
+            load: self.load,
             accepted: self.users.iter().filter(|u| u.accepted).count(),
             broken: self.rules.broken,
         }
@@ -448,6 +518,18 @@
     fn send(&mut self, node: usize, life: u64, call: Call) {
         let id = call.id;
         self.open_calls.insert((node, life, id));
+        let second = self.now.as_secs();
+        match &call.to {
+            Target::State => {
+                *self.load.requests.entry(second).or_default() += 1;
+                if let Ok(txn) = decode::<Txn>(&call.body) {
+                    *self.load.writes.entry(second).or_default() += txn.changes.len();
+                }
+            }
+            Target::Peer(_) => self.load.peer_bytes += call.body.len(),
+            Target::Worker(_) => self.load.orders += 1,
+            Target::Cloud => {}
+        }
         let timeout = self.now + call.timeout;
         let cut = match &call.to {
             Target::State => self.state_cut(node),
@@ -735,13 +817,13 @@
     }
 }
 
-fn draw_user(rng: &mut fastrand::Rng, number: usize, busy: Duration) -> User {
+fn draw_user(rng: &mut fastrand::Rng, number: usize, busy: Duration, factor: u32) -> User {
     let service = rng.f64() < 0.25;
     let cpus = [1.0, 2.0, 4.0, 8.0][rng.usize(0..4)];
     let tasks = if service {
-        rng.u32(1..3)
+        rng.u32(1..3) * factor.div_ceil(4)
     } else {
-        rng.u32(1..9)
+        rng.u32(1..9) * factor
     };
     let team = if rng.bool() { "red" } else { "blue" };
     let saves = rng.bool();
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oliveshift_core::Sabotage;
-use oliveshift_testkit::{Broken, Fault, Outcome, World, draw};
+use oliveshift_testkit::{Broken, Fault, Outcome, Size, World, draw};
 
 const S: Duration = Duration::from_secs(1);
 
@@ -95,6 +95,30 @@
     }
 }
 
+/// Hundreds of machines and thousands of tasks, with the leader lost under way:
+/// what the controllers ask of the state service and tell each other.
+#[test]
+fn a_grown_deployment_keeps_to_its_limits() {
+    let crash = Fault::Crash {
+        node: 0,
+        at: S * 60,
+    };
+    let outcome = World::sized(Size::GROWN, 40, S * 100, vec![crash], None).run(S * 260);
+    assert_eq!(outcome.broken, []);
+    assert_eq!(outcome.open, []);
+    let load = &outcome.load;
+    assert!(outcome.started > 3000, "{} started", outcome.started);
+    // Writes may come a second's worth at once after a pause.
+    let (requests, writes) = Size::GROWN.state;
+    let most = |counts: &std::collections::BTreeMap<u64, usize>| counts.values().copied().max();
+    assert!(most(&load.requests) <= Some(requests as usize), "{load:?}");
+    assert!(most(&load.writes) <= Some(2 * writes as usize), "{load:?}");
+    let all: usize = load.writes.values().sum();
+    assert!(all < outcome.started as usize, "{all} writes");
+    assert!(load.peer_bytes < 260 * 40_000, "{}", load.peer_bytes);
+    assert!(load.orders < 3 * outcome.started as usize);
+}
+
 #[test]
 fn drawn_days() {
     for seed in 100..140 {
@@ -109,6 +133,12 @@
     for seed in 1000..1600 {
         good(seed, draw(seed, 3, S * 180));
     }
+    for seed in 0..24 {
+        let faults = draw(seed, 3, S * 140);
+        let outcome = World::sized(Size::GROWN, seed, S * 100, faults, None).run(S * 400);
+        assert_eq!(outcome.broken, [], "grown, seed {seed}");
+        assert_eq!(outcome.open, [], "grown, seed {seed}");
+    }
 }
 
 #[test]
