--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -88,7 +88,7 @@
 
     /// What a machine's record means for the blocks that we hold.
     fn follow_machine(&mut self, name: &str) {
-        let record = self.view.machines.get(name).map(|m| m.record.clone());
+        let record = self.view.machines.get(name).cloned();
         match record {
             Some(record) => {
                 let Some(term) = self.held.get(&record.block).map(|h| h.term) else {
@@ -119,8 +119,8 @@
     }
 
     fn image_size(&self, image: &str) -> f64 {
-        let of = |id| self.view.jobs.get(id).and_then(|j| j.spec.as_ref());
-        let mut specs = self.view.active.iter().filter_map(of);
+        let active = self.view.active.iter();
+        let mut specs = active.filter_map(|id| self.view.spec(id));
         specs.find(|s| s.image == image).map_or(1.0, |s| s.image_gb)
     }
 
@@ -141,7 +141,7 @@
         let Some(record) = self.view.machines.get(&report.machine) else {
             return self.unknown_machine(conn, report);
         };
-        let block = record.record.block;
+        let block = record.block;
         let Some(held) = self.held.get(&block) else {
             let holder = self.view.blocks.get(&block).map(|b| &b.record);
             let report_to = holder
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -270,9 +270,9 @@
     /// How long work that may use spot machines waits for them before it gets
     /// ordinary ones: less where an aim says how soon it has to start.
     pub(crate) fn spot_patience_s(&self, spec: &JobSpec) -> f64 {
-        let aims = self.settings.params.objectives.iter();
-        let mine = aims.filter(|a| a.kind == "wait" && a.class.as_deref() == Some(&*spec.class));
-        let within = mine.filter_map(|a| a.within_s).reduce(f64::min);
+        let aims = self.settings.params.aims_of(&spec.class);
+        let waits = aims.filter(|a| a.kind == "wait");
+        let within = waits.filter_map(|a| a.within_s).reduce(f64::min);
         let most = self.tuning.spot_patience * self.shortest_boot_s();
         match within {
             Some(within) => (within - self.fresh_start_s(spec)).clamp(0.0, most),
@@ -281,8 +281,8 @@
     }
 
     /// Room to be kept free: for classes that have to start sooner than any
-    /// machine rented for them could serve them, a job of the size that covers the aim's share of them.
-    /// Only spot room is kept so: ordinary room is made by preemption, and a
+    /// machine rented for them could serve them, a job of the size that covers
+    /// the aim's share of them. Only spot room is kept so: ordinary room is made by preemption, and a
     /// reserve of it would be paid for at all hours.
     fn reserve(&self) -> Vec<Want> {
         let zones = &self.settings.params.zones;
@@ -317,7 +317,7 @@
 
     /// Whether some work without room could use the machine if it were empty.
     fn is_wanted(&self, room: &Room) -> bool {
-        let offer = room.coming().offer;
+        let offer = room.offer();
         let total = &room.candidate.total;
         let mut wants = self.fleet.wants.iter();
         wants.any(|w| w.tasks > 0 && fits(&w.need, total) && suits(w, &offer))
@@ -378,19 +378,20 @@
         }
         self.fleet.rent_at = now + Duration::from_millis(500);
         let usable = self.usable_rooms().map(Room::coming_with_ending);
-        let mut coming: Vec<_> = usable.chain(self.coming()).collect();
+        let rented = self.coming();
+        let mut coming: Vec<_> = usable.chain(rented.iter().cloned()).collect();
         let types: Vec<_> = self.types.values().cloned().collect();
         let closed = |offer: &Offer| self.fleet.closed.contains_key(offer);
         let mut loads: BTreeMap<&str, u32> = BTreeMap::new();
         for machine in self.view.machines.values() {
-            *loads.entry(&machine.record.zone).or_default() += 1;
+            *loads.entry(&machine.zone).or_default() += 1;
         }
         let load = |zone: &str| loads.get(zone).copied().unwrap_or(0);
         let wants = self.fleet.wants.clone();
         let most = self.tuning.rent_burst;
         let mut offers = to_rent(&wants, &mut coming, &types, closed, load, most);
         let present = self.usable_rooms().map(Room::coming);
-        let mut coming: Vec<_> = present.chain(self.coming()).collect();
+        let mut coming: Vec<_> = present.chain(rented).collect();
         coming.extend(offers.iter().filter_map(|offer| {
             let free = self.types.get(&offer.kind)?.amounts();
             let offer = offer.clone();
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -293,9 +293,8 @@
         }
         let day = self.day.as_millis() as u64;
         let waited = day.saturating_sub(arrived_ms) as f64 / 1e3;
-        let aims = self.settings.params.objectives.iter();
-        let mine = aims.filter(|a| a.class.as_deref() == Some(&*spec.class));
-        let latest = mine.filter_map(|aim| match aim.kind.as_str() {
+        let aims = self.settings.params.aims_of(&spec.class);
+        let latest = aims.filter_map(|aim| match aim.kind.as_str() {
             "wait" => aim.within_s,
             "finished" => Some(aim.within_s? - spec.estimate_s),
             "deadline" => Some(spec.deadline_s? * aim.times.unwrap_or(1.0) - spec.estimate_s),
@@ -615,15 +614,13 @@
                 .tasks
                 .iter()
                 .filter_map(|(task, other)| {
-                    let lower = spec.priority < other.priority;
-                    let may = lower
-                        || may_preempt(
-                            spec.priority,
-                            queued.guaranteed,
-                            other.priority,
-                            plan.borrowed.contains(&task.job),
-                            other.team == spec.team,
-                        );
+                    let may = may_preempt(
+                        spec.priority,
+                        queued.guaranteed,
+                        other.priority,
+                        plan.borrowed.contains(&task.job),
+                        other.team == spec.team,
+                    );
                     if !may {
                         return None;
                     }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,9 +1,6 @@
 //! The leader's duties but for handing out: blocks, machines, tidying.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use oliveshift_wire::{
     JobId, TaskId,
@@ -222,7 +219,7 @@
         let mut loads = self.loads();
         for (id, version, zone) in orphans {
             if let Some(holder) = self.best_holder(&zone, &loads) {
-                let size = self.view.in_block.get(&id).map_or(0, BTreeSet::len) + 1;
+                let size = self.view.count_in(&id) + 1;
                 *loads.entry(holder.clone()).or_default() += size;
                 self.lease_block(id, version, zone, &holder);
             }
@@ -268,7 +265,7 @@
         let mut loads = BTreeMap::new();
         for (id, block) in &self.view.blocks {
             if self.view.holder_is_up(&block.record) {
-                let size = self.view.in_block.get(id).map_or(0, BTreeSet::len) + 1;
+                let size = self.view.count_in(id) + 1;
                 *loads.entry(block.record.holder.clone()).or_default() += size;
             }
         }
@@ -330,7 +327,7 @@
                 let member = self.view.members.get(node);
                 member.is_some_and(|m| m.record.zone == block.record.zone)
             };
-            let size = self.view.in_block.get(id).map_or(0, BTreeSet::len) + 1;
+            let size = self.view.count_in(id) + 1;
             let load = load_of(holder);
             let node = self.view.members.keys().find(|node| {
                 let gap = load.saturating_sub(load_of(node));
--- a/crates/core/src/lists.rs
+++ b/crates/core/src/lists.rs
@@ -5,10 +5,7 @@
 //! without an answer is sent again with the same conditions until it is
 //! settled, so what the next one builds upon is known.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use oliveshift_wire::{
     state::{Change, Cond, Txn},
@@ -22,8 +19,6 @@
     store::{Outcome, Purpose, Urgency},
 };
 
-/// How long to wait after a write that got no answer or was refused.
-const RETRY: Duration = Duration::from_millis(400);
 /// Most blocks in one write, and most machines in their lists: a transaction
 /// has a limit in bytes.
 const MOST_BLOCKS: usize = 8;
@@ -66,8 +61,8 @@
                 Step::Until(shown) if revision >= shown => leader.lists = None,
                 Step::Again(at) if now >= at => {
                     let txn = write.txn.clone();
-                    if self.txn(txn, Purpose::Lists, Urgency::Safety) {
-                        self.set_list_step(Some(Step::Sent));
+                    if self.txn(txn.clone(), Purpose::Lists, Urgency::Safety) {
+                        self.note_lists(txn);
                     }
                     return;
                 }
@@ -100,9 +95,14 @@
                 lease: None,
             });
         }
-        if self.txn(txn.clone(), Purpose::Lists, Urgency::Safety)
-            && let Some(leader) = &mut self.leader
-        {
+        if self.txn(txn.clone(), Purpose::Lists, Urgency::Safety) {
+            self.note_lists(txn);
+        }
+    }
+
+    /// A write of lists is under way.
+    fn note_lists(&mut self, txn: Txn) {
+        if let Some(leader) = &mut self.leader {
             let step = Step::Sent;
             leader.lists = Some(ListWrite { txn, step });
         }
@@ -123,7 +123,7 @@
             let Some(machine) = self.view.machines.get(name) else {
                 continue;
             };
-            let id = machine.record.block;
+            let id = machine.block;
             if has_room(&lists, &id) {
                 let list = lists.entry(id).or_insert_with(|| self.list_of(id));
                 list.machines.retain(|m| m.name != *name);
@@ -138,7 +138,7 @@
             }
             let count = |id: &BlockId| match lists.get(id) {
                 Some(list) => list.machines.len(),
-                None => self.view.in_block.get(id).map_or(0, BTreeSet::len),
+                None => self.view.count_in(id),
             };
             let blocks = self.view.blocks.iter();
             let mut open = blocks
@@ -161,7 +161,7 @@
     fn list_of(&self, id: BlockId) -> MachineList {
         let names = self.view.in_block.get(&id).into_iter().flatten();
         let machine = |name: &String| {
-            let record = &self.view.machines.get(name)?.record;
+            let record = self.view.machines.get(name)?;
             Some(ListedMachine {
                 name: name.clone(),
                 kind: record.kind.clone(),
@@ -176,25 +176,14 @@
         }
     }
 
-    fn set_list_step(&mut self, step: Option<Step>) {
-        if let Some(leader) = &mut self.leader {
-            match (step, &mut leader.lists) {
-                (Some(step), Some(write)) => write.step = step,
-                _ => leader.lists = None,
-            }
-        }
-    }
-
     pub(crate) fn lists_written(&mut self, txn: &Txn, outcome: Outcome) {
-        let mine = |l: &crate::leader::Leader| l.lists.as_ref().is_some_and(|w| w.txn == *txn);
-        if !self.leader.as_ref().is_some_and(mine) {
+        let step = Step::after(outcome, self.now);
+        let Some(leader) = &mut self.leader else {
             return;
+        };
+        if let Some(write) = leader.lists.take_if(|w| w.txn == *txn) {
+            leader.lists = step.map(|step| ListWrite { step, ..write });
         }
-        self.set_list_step(match outcome {
-            Outcome::Done(revision) | Outcome::Conflict(revision) => Some(Step::Until(revision)),
-            Outcome::Unknown => Some(Step::Again(self.now + RETRY)),
-            Outcome::Refused | Outcome::NoLease => None,
-        });
     }
 }
 
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -51,7 +51,7 @@
     waiting: bool,
     /// From the leader: what it has yet to be told at once.
     preempt: Vec<TaskId>,
-    pub drain_due: bool,
+    drain_due: bool,
 }
 
 impl Controller {
@@ -185,14 +185,14 @@
         if !self.store.ready {
             return;
         }
-        let leader = self.view.leader.as_ref().map(|l| l.record.node.clone());
+        let leader = self.view.leader.as_ref().map(|l| &l.record.node);
         let leads = self.leader.is_some();
         let version = self.own.version;
-        let due = |peer: &str, link: &Link| {
+        let due = |peer: &String, link: &Link| {
             let news = if leads {
                 !link.preempt.is_empty() || link.drain_due
             } else {
-                leader.as_deref() == Some(peer) && link.acked < version
+                leader == Some(peer) && link.acked < version
             };
             !link.waiting && now >= link.at + if news { NEWS } else { PERIOD }
         };
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,6 +1,6 @@
 //! Putting handed tasks on machines: the paper's score decides.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use oliveshift_policy::{
     Candidate, Task, best,
@@ -143,30 +143,31 @@
             if entry.state == TaskState::Exited || machine.bound.contains(&entry.task) {
                 continue;
             }
-            let job = self.view.jobs.get(&entry.task.job);
-            if let Some(spec) = job.and_then(|j| j.spec.as_ref()) {
+            if let Some(spec) = self.view.spec(&entry.task.job) {
                 used = plus(&used, &spec.amounts());
             }
         }
         used
     }
 
-    /// Processors taken by services among some tasks.
-    pub(crate) fn kept<'a>(&self, tasks: impl Iterator<Item = &'a TaskId>) -> f64 {
-        let specs = tasks.filter_map(|t| self.view.jobs.get(&t.job)?.spec.as_ref());
-        let services = specs.filter(|s| s.shape == Shape::Service);
-        services.map(|s| s.cpus).sum()
-    }
-
     fn candidate(&self, machine: &Machine, spec: &JobSpec) -> Option<Candidate> {
         let total = self.types.get(&machine.record.kind)?.amounts();
         let cached = machine.has_image(&spec.image);
+        let bound = machine.bound.iter();
+        let bound = bound.filter_map(|task| self.view.spec(&task.job));
         Some(Candidate {
             free: minus(&total, &self.used(machine)),
             total,
             cached_gb: if cached { spec.image_gb } else { 0.0 },
             spot: machine.record.spot,
-            kept: self.kept(machine.bound.iter()) / total.cpus.max(f64::MIN_POSITIVE),
+            kept: kept(bound, &total),
         })
     }
 }
+
+/// The share of a machine's processors that services take, among the tasks on
+/// it.
+pub(crate) fn kept<'a>(specs: impl Iterator<Item = &'a Rc<JobSpec>>, total: &Amounts) -> f64 {
+    let services = specs.filter(|s| s.shape == Shape::Service);
+    services.map(|s| s.cpus).sum::<f64>() / total.cpus.max(f64::MIN_POSITIVE)
+}
--- a/crates/core/src/recorder.rs
+++ b/crates/core/src/recorder.rs
@@ -53,6 +53,17 @@
     Again(Duration),
 }
 
+impl Step {
+    /// What follows from a write's outcome; none if it was surely not executed.
+    pub fn after(outcome: Outcome, now: Duration) -> Option<Self> {
+        match outcome {
+            Outcome::Done(revision) | Outcome::Conflict(revision) => Some(Self::Until(revision)),
+            Outcome::Unknown => Some(Self::Again(now + RETRY)),
+            Outcome::Refused | Outcome::NoLease => None,
+        }
+    }
+}
+
 /// A change that writes a job's record.
 pub(crate) fn put_job(id: &JobId, job: &Job, phase: Phase) -> Change {
     let record = JobRecord {
@@ -271,12 +282,9 @@
         if busy.txn != txn {
             return;
         }
-        match outcome {
-            Outcome::Done(revision) | Outcome::Conflict(revision) => {
-                busy.step = Step::Until(revision);
-            }
-            Outcome::Unknown => busy.step = Step::Again(now + RETRY),
-            Outcome::Refused | Outcome::NoLease => {
+        match Step::after(outcome, now) {
+            Some(step) => busy.step = step,
+            None => {
                 self.busy.remove(&key);
                 let (id, part) = key;
                 self.look_again(id, part, now + RETRY);
--- a/crates/core/src/rooms.rs
+++ b/crates/core/src/rooms.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     controller::Controller,
+    placement::kept,
     records::{BlockId, Place, Term},
     seen::Seen,
 };
@@ -75,15 +76,20 @@
     /// Its free room after the last plan, for sizing the fleet.
     pub fn coming(&self) -> Coming {
         Coming {
-            offer: Offer {
-                kind: self.kind.clone(),
-                zone: self.zone.clone(),
-                spot: self.spot,
-            },
+            offer: self.offer(),
             free: self.candidate.free,
         }
     }
 
+    /// As what it was rented.
+    pub fn offer(&self) -> Offer {
+        Offer {
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        }
+    }
+
     /// The same with what running work will probably have left by the time a
     /// machine rented now would be up.
     pub fn coming_with_ending(&self) -> Coming {
@@ -114,9 +120,11 @@
 impl Rooms {
     /// Where a machine is in the list.
     pub fn find(&self, name: &str) -> Option<usize> {
-        self.list
-            .binary_search_by(|r| r.name.as_str().cmp(name))
-            .ok()
+        self.search(name).ok()
+    }
+
+    fn search(&self, name: &str) -> Result<usize, usize> {
+        self.list.binary_search_by(|r| r.name.as_str().cmp(name))
     }
 
     /// Whether some machine has the task.
@@ -124,11 +132,18 @@
         self.bound.contains_key(task)
     }
 
-    fn set(&mut self, name: &str, room: Option<Room>) {
-        let at = self.list.binary_search_by(|r| r.name.as_str().cmp(name));
-        for (task, _) in room.iter().flat_map(|r| &r.tasks) {
+    /// Counts where a machine's tasks are bound.
+    fn count(&mut self, room: &Room) {
+        for (task, _) in &room.tasks {
             *self.bound.entry(task.clone()).or_default() += 1;
         }
+    }
+
+    fn set(&mut self, name: &str, room: Option<Room>) {
+        let at = self.search(name);
+        if let Some(room) = &room {
+            self.count(room);
+        }
         let old = match (at, room) {
             (Ok(at), Some(room)) => Some(std::mem::replace(&mut self.list[at], room)),
             (Ok(at), None) => Some(self.list.remove(at)),
@@ -168,9 +183,7 @@
             };
             for name in self.view.machines.keys() {
                 if let Some(room) = self.room(name) {
-                    for (task, _) in &room.tasks {
-                        *rooms.bound.entry(task.clone()).or_default() += 1;
-                    }
+                    rooms.count(&room);
                     rooms.list.push(room);
                 }
             }
@@ -182,7 +195,7 @@
     }
 
     fn room(&self, name: &str) -> Option<Room> {
-        let record = &self.view.machines.get(name)?.record;
+        let record = self.view.machines.get(name)?;
         let block = self.view.blocks.get(&record.block)?;
         let kind = self.types.get(&record.kind)?;
         let (seen, fresh) = self.seen(name, block)?;
@@ -196,9 +209,7 @@
             let needs = tasks.iter().map(|(_, spec)| spec.amounts());
             needs.fold(total, |free, need| minus(&free, &need))
         };
-        let services = tasks.iter().filter(|(_, s)| s.shape == Shape::Service);
-        let kept = services.map(|(_, s)| s.cpus).sum::<f64>();
-        let kept = kept / total.cpus.max(f64::MIN_POSITIVE);
+        let kept = kept(tasks.iter().map(|(_, spec)| spec), &total);
         Some(Room {
             name: name.to_owned(),
             block: record.block,
@@ -233,9 +244,10 @@
             let place = job.map(|j| j.place(task.index));
             fresh || matches!(place, Some(Place::Handed { block: b, .. }) if b == block)
         };
-        let spec = |task: &TaskId| self.view.jobs.get(&task.job)?.spec.clone();
         let tasks = seen.tasks.iter().filter(here);
-        tasks.filter_map(|t| Some((t.clone(), spec(t)?))).collect()
+        tasks
+            .filter_map(|t| Some((t.clone(), self.view.spec(&t.job)?.clone())))
+            .collect()
     }
 
     fn ending(&self, tasks: &[(TaskId, Rc<JobSpec>)]) -> Amounts {
--- a/crates/core/src/seen.rs
+++ b/crates/core/src/seen.rs
@@ -2,7 +2,10 @@
 //! by what their holders told us last. Kept up to date machine by machine, as
 //! there are too many to look at all of them at each piece of news.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use oliveshift_policy::score::minus;
 use oliveshift_wire::{TaskId, job::Amounts, peer::MachineView};
@@ -81,7 +84,7 @@
     pub version: u64,
     pub machines: BTreeMap<String, (u64, Seen)>,
     /// Machines to look at again.
-    touched: std::collections::BTreeSet<String>,
+    touched: BTreeSet<String>,
     looked_at: Duration,
 }
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -139,7 +139,7 @@
     /// The blocks.
     pub blocks: BTreeMap<BlockId, Versioned<BlockRecord>>,
     /// The machines.
-    pub machines: BTreeMap<String, Versioned<MachineRecord>>,
+    pub machines: BTreeMap<String, MachineRecord>,
     /// The machines of each block.
     pub in_block: BTreeMap<BlockId, BTreeSet<String>>,
     /// The version of each block's list of machines.
@@ -258,8 +258,7 @@
                 spot: machine.spot,
                 addr: machine.addr,
             };
-            self.machines
-                .insert(machine.name, Versioned { version, record });
+            self.machines.insert(machine.name, record);
         }
         for name in old.difference(&names) {
             self.machines.remove(name);
@@ -339,6 +338,16 @@
         Some(key)
     }
 
+    /// A job's description, while something of it is left to do.
+    pub fn spec(&self, id: &JobId) -> Option<&Rc<JobSpec>> {
+        self.jobs.get(id)?.spec.as_ref()
+    }
+
+    /// How many machines a block has.
+    pub fn count_in(&self, id: &BlockId) -> usize {
+        self.in_block.get(id).map_or(0, BTreeSet::len)
+    }
+
     /// Whether a block's holder is up in the incarnation that was given it.
     pub fn holder_is_up(&self, block: &BlockRecord) -> bool {
         self.members
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -1,6 +1,6 @@
 //! What can go wrong, scripted or drawn from a seed.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 /// One trouble.
 #[derive(Clone, Debug)]
@@ -77,6 +77,21 @@
     },
 }
 
+impl Fault {
+    /// From when until when it lasts; none if it comes and is over at once.
+    pub fn span(&self) -> Option<Range<Duration>> {
+        match *self {
+            Self::CutState { from, until, .. }
+            | Self::Refused { from, until, .. }
+            | Self::Outage { from, until }
+            | Self::CloudOutage { from, until }
+            | Self::CutWorkers { from, until, .. }
+            | Self::PeersRefuse { from, until } => Some(from..until),
+            Self::Crash { .. } | Self::Taken { .. } | Self::Sick { .. } => None,
+        }
+    }
+}
+
 /// Draws a day's troubles, all of them over by `end`.
 pub fn draw(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
     let mut rng = fastrand::Rng::with_seed(seed);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -435,25 +435,22 @@
         }
     }
 
+    /// Whether some trouble of a kind lasts now.
+    fn is_on(&self, kind: impl Fn(&Fault) -> bool) -> bool {
+        let lasts = |f: &&Fault| f.span().is_some_and(|span| span.contains(&self.now));
+        self.faults.iter().filter(lasts).any(kind)
+    }
+
     fn outage(&self) -> bool {
-        let now = self.now;
-        let on = |f: &Fault| matches!(f, Fault::Outage { from, until } if (*from..*until).contains(&now));
-        self.faults.iter().any(on)
+        self.is_on(|f| matches!(f, Fault::Outage { .. }))
     }
 
     fn cloud_outage(&self) -> bool {
-        let now = self.now;
-        let on = |f: &Fault| matches!(f, Fault::CloudOutage { from, until } if (*from..*until).contains(&now));
-        self.faults.iter().any(on)
+        self.is_on(|f| matches!(f, Fault::CloudOutage { .. }))
     }
 
     fn refused(&self, n: usize) -> bool {
-        let now = self.now;
-        let on = |f: &Fault| {
-            matches!(f, Fault::Refused { node, from, until }
-                if *node == n && (*from..*until).contains(&now))
-        };
-        self.faults.iter().any(on)
+        self.is_on(|f| matches!(f, Fault::Refused { node, .. } if *node == n))
     }
 
     /// Until when a controller and the state service are cut.
@@ -610,8 +607,7 @@
                     let reply = Reply::NotSent;
                     return self.at(self.now, Event::Reply(node, life, id, reply));
                 }
-                let refuse = |f: &Fault| matches!(f, Fault::PeersRefuse { from, until } if (*from..*until).contains(&self.now));
-                if self.faults.iter().any(refuse) {
+                if self.is_on(|f| matches!(f, Fault::PeersRefuse { .. })) {
                     let reply = Reply::NotSent;
                     return self.at(self.now, Event::Reply(node, life, id, reply));
                 }
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -29,6 +29,14 @@
     assert_eq!(outcome.accepted, 24, "seed {seed}: {text}");
 }
 
+/// Plays a day of hundreds of machines until `end`.
+fn grown(seed: u64, faults: Vec<Fault>, end: Duration) -> Outcome {
+    let outcome = World::sized(Size::GROWN, seed, S * 100, faults, None).run(end);
+    assert_eq!(outcome.broken, [], "grown, seed {seed}");
+    assert_eq!(outcome.open, [], "grown, seed {seed}");
+    outcome
+}
+
 #[test]
 fn a_quiet_day() {
     good(1, Vec::new());
@@ -103,9 +111,7 @@
         node: 0,
         at: S * 60,
     };
-    let outcome = World::sized(Size::GROWN, 40, S * 100, vec![crash], None).run(S * 260);
-    assert_eq!(outcome.broken, []);
-    assert_eq!(outcome.open, []);
+    let outcome = grown(40, vec![crash], S * 260);
     let load = &outcome.load;
     assert!(outcome.started > 3000, "{} started", outcome.started);
     // Writes may come a second's worth at once after a pause.
@@ -135,9 +141,7 @@
     }
     for seed in 0..24 {
         let faults = draw(seed, 3, S * 140);
-        let outcome = World::sized(Size::GROWN, seed, S * 100, faults, None).run(S * 400);
-        assert_eq!(outcome.broken, [], "grown, seed {seed}");
-        assert_eq!(outcome.open, [], "grown, seed {seed}");
+        grown(seed, faults, S * 400);
     }
 }
 
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -248,6 +248,14 @@
     }
 }
 
+impl Deployment {
+    /// The aims that name a class of jobs.
+    pub fn aims_of(&self, class: &str) -> impl Iterator<Item = &Objective> {
+        let aims = self.objectives.iter();
+        aims.filter(move |a| a.class.as_deref() == Some(class))
+    }
+}
+
 impl Settings {
     /// How many controllers there are.
     pub fn peers_and_me(&self) -> usize {
