--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -2,22 +2,23 @@
 //!
 //! Users hear only what the store has confirmed: acceptance and cancellation
 //! after the write that makes them so, anything that may still change after a
-//! read begun when they asked. Final phases come from memory. What can't be
-//! found out now is sent back at once with 503.
+//! read begun when they asked; that a job was never accepted is no exception,
+//! whether it is asked for or named by a submission. Final phases come from
+//! memory. What can't be found out now is sent back at once with 503.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use oliveshift_policy::{queue::Share, score::fits};
 use oliveshift_wire::{
     JobId, encode,
     job::{Amounts, JobPhase, JobSpec, JobStatus, Shape},
-    state::{Change, Cond, Txn},
+    state::{Change, Cond, MAX_TXN, Txn, json_len},
 };
 
 use crate::{
     call::ConnId,
     controller::Controller,
-    records::{JobRecord, Key, Phase, chunk_size, to_value},
+    records::{JobRecord, Key, Level, Phase, TooLarge, chunk_size},
     store::{Outcome, Purpose, Urgency},
     view::Job,
 };
@@ -46,6 +47,19 @@
     pub job: JobId,
     pub wish: Wish,
     pub since: Duration,
+    /// What is submitted.
+    pub spec: Option<Rc<JobSpec>>,
+}
+
+/// How the jobs that a submission names are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Named {
+    /// All are accepted.
+    Accepted,
+    /// Some are not, as far as we know.
+    Unknown,
+    /// One is a service.
+    Service,
 }
 
 /// Users who wait.
@@ -59,14 +73,17 @@
 
 impl Controller {
     pub(crate) fn submit(&mut self, conn: ConnId, body: &[u8]) {
-        let spec = match JobSpec::parse(body) {
+        let mut spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
             Err(e) => return self.refuse(conn, 400, &e.to_string()),
         };
+        if self.program < Level::PIPELINES {
+            spec.awaits.clear();
+        }
         let id = spec.id.clone();
         if let Some(job) = self.view.jobs.get(&id) {
             if job.phase == Phase::Open {
-                self.ask(conn, id, Wish::Submit);
+                self.ask(conn, id, Wish::Submit, None);
             } else {
                 self.tell(conn, &id, 200);
             }
@@ -84,36 +101,83 @@
             log::debug!("{id}: refused: {why}");
             return self.refuse(conn, 422, why);
         }
+        if !spec.awaits.is_empty() && self.level() < Level::PIPELINES {
+            // An old program would start it at once.
+            return self.come_back(conn, "not all controllers can keep jobs that await others");
+        }
+        match self.named(&spec) {
+            Named::Accepted => self.accept(conn, Rc::new(spec)),
+            Named::Service => self.refuse(conn, 422, "a service can not be awaited"),
+            Named::Unknown => self.ask(conn, id, Wish::Submit, Some(Rc::new(spec))),
+        }
+    }
+
+    /// How the jobs that a submission names are known. It can't name itself:
+    /// it is not accepted before.
+    fn named(&self, spec: &JobSpec) -> Named {
+        let mut known = Named::Accepted;
+        for awaited in &spec.awaits {
+            match self.view.jobs.get(awaited) {
+                Some(job) if job.service => return Named::Service,
+                Some(_) => {}
+                None => known = Named::Unknown,
+            }
+        }
+        known
+    }
+
+    /// Records a job that may be accepted.
+    fn accept(&mut self, conn: ConnId, spec: Rc<JobSpec>) {
+        let id = spec.id.clone();
         log::debug!(
-            "{id}: submitted: {}, {} tasks, image {}",
+            "{id}: submitted: {}, {} tasks, image {}, awaits {:?}",
             spec.class,
             spec.tasks,
-            spec.image
+            spec.image,
+            spec.awaits
         );
+        let limits = self.limits();
         let record = JobRecord {
             phase: Phase::Open,
             tasks: spec.tasks,
             at_ms: self.day.as_millis() as u64,
-            chunk: chunk_size(self.settings.params.state.value_kb),
-            spec: Some(spec),
+            chunk: chunk_size(self.level(), limits.value_kb),
+            spec: Some((*spec).clone()),
+            more: 0,
+            done_ms: None,
+            service: false,
+        };
+        let records = match record.split(&id, self.level(), limits) {
+            Ok(records) if records.len() > 1 && self.level() < Level::PIPELINES => {
+                // An old program could not make it whole again.
+                return self.come_back(conn, "not all controllers can keep so long a job");
+            }
+            Ok(records) => records,
+            Err(why) => return self.refuse(conn, 422, &why.to_string()),
         };
-        let key = Key::Job(id.clone()).path();
         let txn = Txn {
             conds: vec![Cond {
-                key: key.clone(),
+                key: Key::Job(id.clone()).path(),
                 version: 0,
             }],
-            changes: vec![Change::Put {
-                key,
-                value: to_value(&record),
-                lease: None,
-            }],
+            changes: records
+                .into_iter()
+                .map(|(key, value)| Change::Put {
+                    key: key.path(),
+                    value,
+                    lease: None,
+                })
+                .collect(),
         };
+        if json_len(&txn) > MAX_TXN {
+            return self.refuse(conn, 422, &TooLarge::Lists.to_string());
+        }
         let ask = Ask {
             conn,
             job: id.clone(),
             wish: Wish::Submit,
             since: self.now,
+            spec: Some(spec),
         };
         if !self.txn(txn, Purpose::Accept(id, vec![ask]), Urgency::User) {
             self.come_back(conn, "too many requests at once");
@@ -170,9 +234,19 @@
             match outcome {
                 Outcome::Done(_) => {
                     log::debug!("{id}: accepted");
+                    let cancelled = |awaited: &JobId| {
+                        let job = self.view.jobs.get(awaited);
+                        job.is_some_and(|j| j.phase == Phase::Cancelled)
+                    };
+                    let mut awaits = ask.spec.iter().flat_map(|s| &s.awaits);
+                    let phase = if awaits.any(cancelled) {
+                        JobPhase::Cancelled
+                    } else {
+                        JobPhase::Pending
+                    };
                     let status = JobStatus {
                         id: id.clone(),
-                        phase: JobPhase::Pending,
+                        phase,
                         done: None,
                         running: None,
                     };
@@ -192,7 +266,7 @@
         };
         match self.view.jobs.get(&id) {
             Some(job) if job.phase != Phase::Open => self.tell(conn, &id, 200),
-            _ => self.ask(conn, id, Wish::Poll),
+            _ => self.ask(conn, id, Wish::Poll, None),
         }
     }
 
@@ -208,15 +282,16 @@
                     job: id,
                     wish: Wish::Abort,
                     since: self.now,
+                    spec: None,
                 };
                 self.cancel(ask);
             }
-            _ => self.ask(conn, id, Wish::Abort),
+            _ => self.ask(conn, id, Wish::Abort, None),
         }
     }
 
     /// Puts a user among those who wait for a read.
-    fn ask(&mut self, conn: ConnId, job: JobId, wish: Wish) {
+    fn ask(&mut self, conn: ConnId, job: JobId, wish: Wish, spec: Option<Rc<JobSpec>>) {
         if !self.in_contact() || self.admission.asks.len() >= MOST_WAITING {
             return self.come_back(conn, "the state service can not be reached");
         }
@@ -225,6 +300,7 @@
             job,
             wish,
             since: self.now,
+            spec,
         });
         self.read_for_asks();
     }
@@ -238,7 +314,19 @@
                 continue;
             }
             match (open, ask.wish) {
-                (None, Wish::Submit) => self.come_back(ask.conn, "come again"),
+                (None, Wish::Submit) => match ask.spec {
+                    // What it names was not known before the read.
+                    Some(spec) => match self.named(&spec) {
+                        Named::Accepted => self.accept(ask.conn, spec),
+                        Named::Service => {
+                            self.refuse(ask.conn, 422, "a service can not be awaited");
+                        }
+                        Named::Unknown => {
+                            self.refuse(ask.conn, 422, "it awaits a job that was never accepted");
+                        }
+                    },
+                    None => self.come_back(ask.conn, "come again"),
+                },
                 (None, _) => self.refuse(ask.conn, 404, "no such job"),
                 (Some(true), Wish::Abort) => self.cancel(ask),
                 (Some(_), _) => self.tell(ask.conn, &ask.job, 200),
@@ -261,11 +349,10 @@
         let id = ask.job.clone();
         let record = JobRecord {
             phase: Phase::Cancelled,
-            tasks: job.tasks,
-            at_ms: job.at_ms,
-            chunk: job.chunk,
             spec: job.spec.as_deref().cloned(),
+            ..job.record()
         };
+        let record = record.trimmed(self.level(), self.limits().value_bytes());
         let key = Key::Job(id.clone()).path();
         let txn = Txn {
             conds: vec![Cond {
@@ -274,7 +361,7 @@
             }],
             changes: vec![Change::Put {
                 key,
-                value: to_value(&record),
+                value: record.to_value(self.level()),
                 lease: None,
             }],
         };
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -112,4 +112,6 @@
     Call(Call),
     /// Answer one.
     Answer(Answer),
+    /// End the program with this line.
+    End(String),
 }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -8,7 +8,11 @@
 };
 
 use oliveshift_wire::{
-    JobId, TaskId, cloud::MachineType, job::Refusal, peer::PeerMessage, settings::Settings,
+    JobId, TaskId,
+    cloud::MachineType,
+    job::Refusal,
+    peer::PeerMessage,
+    settings::{Settings, StateLimits},
     state::Txn,
 };
 
@@ -22,11 +26,12 @@
     machine::Machine,
     peers::{Link, PeerState},
     recorder::{Busy, News},
-    records::{BlockId, Key},
+    records::{BlockId, Key, Level},
     seen::Own,
     slots::Slot,
     store::{Outcome, Purpose, Store},
     tuning::Tuning,
+    upgrade::Upgrade,
     view::View,
 };
 
@@ -61,6 +66,17 @@
     NoProof,
     /// Every report is proof, whichever token it shows.
     NoTerms,
+    /// A write that got no answer counts as not executed once a repeat of it
+    /// is refused.
+    RefusalSettles,
+    /// Jobs start without those that they await.
+    NoAwaiting,
+    /// A job is not cancelled with one that it awaits.
+    NoChain,
+    /// The new forms are written as soon as this controller is new.
+    SwitchEarly,
+    /// The lower limits to come are not kept to.
+    NoLowering,
 }
 
 /// A request that the controller made and has no reply to yet.
@@ -84,12 +100,18 @@
         term: u64,
     },
     Peer(String, u64),
+    Level(String),
 }
 
 /// One controller.
 #[derive(Debug)]
 pub struct Controller {
     pub(crate) settings: Rc<Settings>,
+    /// The limits of the state service that are to come.
+    pub(crate) lowered: StateLimits,
+    /// The newest form of records that this program knows.
+    pub(crate) program: Level,
+    pub(crate) upgrade: Upgrade,
     pub(crate) tuning: Tuning,
     pub(crate) incarnation: u64,
     pub(crate) rng: fastrand::Rng,
@@ -143,6 +165,9 @@
             incarnation: rng.u64(1..1 << 53),
             store: Store::new(&settings),
             fleet: Fleet::new(&settings),
+            lowered: settings.params.state.lowered(),
+            program: Level::OWN,
+            upgrade: Upgrade::default(),
             settings: Rc::new(settings),
             tuning,
             rng,
@@ -173,6 +198,16 @@
         }
     }
 
+    /// A stand-in for a program that knows no newer form than `level`: what it
+    /// can't read it does not see, as the program in production does not.
+    #[cfg(feature = "sabotage")]
+    pub fn of_level(settings: Settings, seed: u64, level: Level) -> Self {
+        Self {
+            program: level,
+            ..Self::new(settings, seed)
+        }
+    }
+
     /// Takes one input at a time and returns what is to be done.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         self.now = self.now.max(now.steady);
@@ -236,8 +271,20 @@
                     Err(_) => self.refuse(conn, 400, "not a message of this version"),
                 }
             }
+            (Side::Internal, (Some("level"), None, ..), Method::Get)
+                if self.program >= Level::PIPELINES =>
+            {
+                self.tell_level(conn);
+            }
+            (Side::Internal, (Some("admin"), Some("upgrade"), None, _), Method::Get) => {
+                self.upgrade_status(conn);
+            }
+            (Side::Internal, (Some("admin"), Some("upgrade"), None, _), Method::Post) => {
+                self.write_off(conn, &body);
+            }
             (_, (Some("healthz"), None, ..), _)
             | (Side::Internal, (Some("peer"), None, ..), _)
+            | (Side::Internal, (Some("admin"), Some("upgrade"), None, _), _)
             | (Side::Public, (Some("work" | "checkin"), None, ..), _)
             | (Side::Public, (Some("work"), Some(_), None | Some("abort"), None), _) => {
                 self.refuse(conn, 405, "method not allowed");
@@ -267,6 +314,7 @@
                 term,
             } => self.orders_done(&machine, &starts, term, &reply),
             Pending::Peer(peer, version) => self.told(&peer, version, &reply),
+            Pending::Level(node) => self.level_told(&node, &reply),
         }
     }
 
@@ -279,6 +327,7 @@
             Purpose::Chunk(id, part) => self.chunk_written(id, part, txn, outcome),
             Purpose::Lead2(what) => self.duty_written(what, outcome),
             Purpose::Lists => self.lists_written(&txn, outcome),
+            Purpose::Upgrade(step) => self.upgrade_written(step, outcome),
         }
     }
 
@@ -288,14 +337,18 @@
         match key {
             Key::Leader | Key::Member(_) => self.members_changed(),
             Key::Block(id) => self.block_changed(*id),
-            Key::Machines(_) => {
+            Key::Machines(..) => {
                 for name in std::mem::take(&mut self.view.news) {
                     self.machine_changed(&name);
                 }
             }
             Key::Job(id) => self.job_changed(id),
             Key::Chunk(id, part) => self.chunk_changed(id, *part),
-            Key::Settings => {}
+            Key::Format => {
+                let level = self.view.level();
+                log::info!("the records are of level {} from now on", level.0);
+            }
+            Key::Settings | Key::More(..) | Key::Level(_) | Key::Lowered => {}
         }
         if let Some(leader) = &mut self.leader {
             leader.plan_due = true;
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -20,12 +20,12 @@
 use oliveshift_wire::{
     JobId, TaskId,
     job::{Amounts, JobSpec, Priority, Shape},
-    state::{Change, Cond, Txn},
+    state::{Cond, Txn},
 };
 
 use crate::{
     controller::Controller,
-    records::{BlockId, ChunkRecord, Key, Phase, Place, to_value},
+    records::{BlockId, Key, Phase, Place, Term, pairs_at_most},
     rooms::{Room, Rooms},
     store::Urgency,
     view::{Chunk, Job},
@@ -50,6 +50,8 @@
     rank: Rank,
     id: JobId,
     guaranteed: bool,
+    /// Its own, or that of a job that needs it.
+    priority: Priority,
 }
 
 /// A plan in the making.
@@ -245,7 +247,7 @@
             .view
             .active
             .iter()
-            .filter_map(|id| self.view.jobs.get(id).map(|j| (j.at_ms, id, j)))
+            .filter_map(|id| self.view.jobs.get(id).map(|j| (j.since_ms, id, j)))
             .filter(|(_, _, job)| job.phase == Phase::Open)
             .collect();
         open.sort_by_key(|(at, id, _)| (*at, *id));
@@ -265,15 +267,18 @@
                 plan.borrowed.insert(id.clone());
             }
             if job.waiting() > 0 {
+                let priority = self.view.priority(id, spec);
+                let latest = self.view.claim(id).and_then(|c| c.latest_start);
                 queue.push(Queued {
                     rank: Rank::new(
-                        spec.priority,
+                        priority,
                         guaranteed,
-                        self.missed(at, spec),
-                        latest_start(at, spec),
+                        self.missed(job, spec),
+                        latest.map_or(at, |at| at.as_millis() as u64),
                     ),
                     id: id.clone(),
                     guaranteed,
+                    priority,
                 });
             }
         }
@@ -286,18 +291,23 @@
         queue
     }
 
-    /// How many of its aims a job can't keep any more.
-    fn missed(&self, arrived_ms: u64, spec: &JobSpec) -> u32 {
+    /// How many of its aims a job can't keep any more. A deadline counts from
+    /// its submission, all else from when it may start.
+    fn missed(&self, job: &Job, spec: &JobSpec) -> u32 {
         if spec.priority == Priority::Production {
             return 0;
         }
         let day = self.day.as_millis() as u64;
-        let waited = day.saturating_sub(arrived_ms) as f64 / 1e3;
+        let waited = day.saturating_sub(job.since_ms) as f64 / 1e3;
+        let held_up = job.since_ms.saturating_sub(job.at_ms) as f64 / 1e3;
         let aims = self.settings.params.aims_of(&spec.class);
         let latest = aims.filter_map(|aim| match aim.kind.as_str() {
             "wait" => aim.within_s,
             "finished" => Some(aim.within_s? - spec.estimate_s),
-            "deadline" => Some(spec.deadline_s? * aim.times.unwrap_or(1.0) - spec.estimate_s),
+            "deadline" => {
+                let due = spec.deadline_s? * aim.times.unwrap_or(1.0);
+                Some(due - held_up - spec.estimate_s)
+            }
             _ => None,
         });
         missed(waited, &latest.collect::<Vec<_>>())
@@ -323,7 +333,7 @@
             let Some(job) = self.view.jobs.get(&queued.id) else {
                 continue;
             };
-            let waited = day.saturating_sub(job.at_ms) > patience;
+            let waited = day.saturating_sub(job.since_ms) > patience;
             if let Some(spec) = job.spec.as_ref().filter(|_| waited) {
                 let fits = self.types_for(spec);
                 if fits.len() < self.types.len() {
@@ -354,7 +364,7 @@
         };
         let Some(spec) = job.spec.clone() else { return };
         let share = self.team_share(&spec.team).unwrap_or_default();
-        let job_at = job.at_ms as f64 / 1e3;
+        let job_at = job.since_ms as f64 / 1e3;
         let need = spec.amounts();
         let doubt = self.in_doubt(id, job);
         let mut in_zone: BTreeMap<String, u32> = BTreeMap::new();
@@ -394,6 +404,10 @@
         let mut parts: Vec<(u32, Vec<(u32, usize)>)> = Vec::new();
         let mut full = false;
         let mut limited = false;
+        let limits = self.limits();
+        let most_pairs = |count| pairs_at_most(self.level(), limits.value_bytes(), count);
+        // The other conditions are on the leader, the chunk and the job.
+        let most_blocks = limits.txn_conds().saturating_sub(3);
         for part in 0..job.chunk_count() {
             if left == 0 || full || limited {
                 break;
@@ -407,6 +421,21 @@
             }
             let (first, count) = job.chunk_span(part);
             let mut tasks = Vec::new();
+            // A record has room for so many blocks and terms, and a write for
+            // so many conditions: what goes beyond waits.
+            let mut pairs = handed_to(job, part);
+            let mut blocks: BTreeSet<BlockId> = BTreeSet::new();
+            let mut aside = Vec::new();
+            let mut crowded = |room: &Room| {
+                let pair = (room.block, room.term);
+                let crowded = (!pairs.contains(&pair) && pairs.len() >= most_pairs(count))
+                    || (!blocks.contains(&room.block) && blocks.len() >= most_blocks);
+                if !crowded {
+                    pairs.insert(pair);
+                    blocks.insert(room.block);
+                }
+                crowded
+            };
             for index in first..first + count as u32 {
                 if job.place(index) != Place::Waiting {
                     continue;
@@ -431,8 +460,14 @@
                     }
                     scored
                 });
-                let Some(at) = top(scored, &plan.rooms.list, zone_ok) else {
-                    full = true;
+                let at = loop {
+                    match top(scored, &plan.rooms.list, zone_ok) {
+                        Some(at) if crowded(&plan.rooms.list[at]) => aside.push(at),
+                        found => break found,
+                    }
+                };
+                let Some(at) = at else {
+                    full = aside.is_empty();
                     break;
                 };
                 if let Some(used) = plan.used.get_mut(&spec.team) {
@@ -445,6 +480,12 @@
                 tasks.push((index, at));
                 left -= 1;
             }
+            if let Some(scored) = &mut scored {
+                for at in aside {
+                    let room = &plan.rooms.list[at];
+                    scored.put(at, &candidate(room, &spec), &self.tuning.weights);
+                }
+            }
             if !tasks.is_empty() {
                 parts.push((part, tasks));
             }
@@ -552,11 +593,10 @@
                 });
             }
         }
-        let changes = vec![Change::Put {
-            key,
-            value: to_value(&ChunkRecord::pack(first, &places)),
-            lease: None,
-        }];
+        let Some(put) = self.put_chunk(key, first, places) else {
+            return;
+        };
+        let changes = vec![put];
         let txn = Txn { conds, changes };
         if !self.write_chunk(id, part, txn, handed, Urgency::Handout) {
             if let Some(leader) = &mut self.leader {
@@ -588,8 +628,7 @@
         spec: &Rc<JobSpec>,
         zones: &[String],
     ) {
-        let idle = spec.priority == Priority::Low && !queued.guaranteed;
-        if idle || (spec.priority != Priority::Production && !queued.guaranteed) {
+        if queued.priority != Priority::Production && !queued.guaranteed {
             return;
         }
         if plan.searches >= MOST_SEARCHES {
@@ -614,10 +653,11 @@
                 .tasks
                 .iter()
                 .filter_map(|(task, other)| {
+                    let theirs = self.view.priority(&task.job, other);
                     let may = may_preempt(
-                        spec.priority,
+                        queued.priority,
                         queued.guaranteed,
-                        other.priority,
+                        theirs,
                         plan.borrowed.contains(&task.job),
                         other.team == spec.team,
                     );
@@ -627,12 +667,12 @@
                     let is_asked = self.leader.as_ref()?.asked.contains_key(task);
                     // People wait for production: the quickest to stop goes
                     // first. Otherwise those that lose nothing do.
-                    let lost = match (spec.priority, other.saves()) {
+                    let lost = match (queued.priority, other.saves()) {
                         (Priority::Production, true) => other.save_time(),
                         (Priority::Production, false) | (_, true) => Duration::ZERO,
                         (_, false) => Duration::from_secs(1),
                     };
-                    let priority = std::cmp::Reverse(other.priority);
+                    let priority = std::cmp::Reverse(theirs);
                     Some((!is_asked, priority, lost, task, other))
                 })
                 .collect();
@@ -672,11 +712,16 @@
     }
 }
 
-/// Orders jobs of a priority: by arrival, or by when they have to start if they
-/// have a deadline.
-fn latest_start(arrived_ms: u64, spec: &JobSpec) -> u64 {
-    let slack = spec.deadline_s.map_or(0.0, |d| d - spec.estimate_s);
-    arrived_ms + (slack.max(0.0) * 1e3) as u64
+/// The blocks, with their terms, that tasks of a chunk are handed to.
+fn handed_to(job: &Job, part: u32) -> BTreeSet<(BlockId, Term)> {
+    let chunk = job.chunks.get(&part);
+    let places = chunk.into_iter().flat_map(|c| &c.places);
+    places
+        .filter_map(|place| match place {
+            Place::Handed { block, term } => Some((*block, *term)),
+            _ => None,
+        })
+        .collect()
 }
 
 /// The zone in which most of a job's tasks have room.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,6 +1,9 @@
 //! The leader's duties but for handing out: blocks, machines, tidying.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use oliveshift_wire::{
     JobId, TaskId,
@@ -12,16 +15,18 @@
     call::ConnId,
     controller::Controller,
     lists::ListWrite,
-    recorder::put_job,
-    records::{BlockId, BlockRecord, Key, Phase, to_value},
+    records::{BlockId, BlockRecord, Key, Phase, to_list},
     rooms::Rooms,
     store::{Outcome, Purpose, Urgency},
+    view::Job,
 };
 
 /// How long a report waits for its machine to be registered.
 const REPORT_PATIENCE: Duration = Duration::from_millis(2000);
 /// How long a duty without an answer is left alone before it is done again.
 const REDO: Duration = Duration::from_millis(2500);
+/// Most writes at a time that tidy up.
+const MOST_BATCHES: usize = 4;
 /// For how long a controller has to be up before blocks move to it.
 const STEADY: Duration = Duration::from_secs(8);
 
@@ -30,8 +35,8 @@
 pub(crate) enum Duty {
     /// Leasing a block.
     Lease(BlockId),
-    /// Tidying up after a job.
-    Tidy(JobId),
+    /// Tidying up after jobs.
+    Tidy(Vec<JobId>),
 }
 
 /// What only the leader knows.
@@ -60,6 +65,8 @@
     /// Blocks being made, and in which zone.
     making: BTreeMap<BlockId, String>,
     tidy_at: Duration,
+    /// Jobs all of whose tasks are done and that are recorded as open.
+    pub complete: BTreeSet<JobId>,
 }
 
 impl Controller {
@@ -84,6 +91,12 @@
         match version {
             Some(version) => {
                 log::info!("we lead now");
+                let active = self.view.active.iter();
+                let complete = active.filter(|id| {
+                    let job = self.view.jobs.get(*id);
+                    job.is_some_and(Job::is_complete)
+                });
+                let complete = complete.cloned().collect();
                 self.leader = Some(Leader {
                     version,
                     plan_due: true,
@@ -98,6 +111,7 @@
                     lists: None,
                     making: BTreeMap::new(),
                     tidy_at: self.now,
+                    complete,
                 });
             }
             None => {
@@ -170,6 +184,7 @@
         }
         self.lease_blocks(tidy);
         self.keep_lists();
+        self.finish();
         if tidy {
             self.tidy();
         }
@@ -249,7 +264,7 @@
             ],
             changes: vec![Change::Put {
                 key,
-                value: to_value(&record),
+                value: to_list(&record),
                 lease: None,
             }],
         };
@@ -359,57 +374,114 @@
         }
     }
 
-    /// Compacts jobs that are over: their description and chunks go once
-    /// nothing of them can be on a machine.
-    fn tidy(&mut self) {
-        let most = self.settings.params.state.txn_ops - 1;
-        let mut todo = Vec::new();
-        for id in &self.view.active {
-            let Some(job) = self.view.jobs.get(id) else {
-                continue;
-            };
-            let complete = job.done >= job.tasks;
-            let phase = match job.phase {
-                Phase::Open if complete => Phase::Done,
-                Phase::Open => continue,
-                phase => phase,
-            };
-            let busy = job
-                .chunks
-                .keys()
-                .any(|part| self.busy.contains_key(&(id.clone(), *part)));
-            if busy || job.handed_total() > 0 {
+    /// Ends jobs all of whose tasks are done, if those who recorded the last of
+    /// them could not see it; the users and the jobs that await them wait.
+    fn finish(&mut self) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        for id in std::mem::take(&mut leader.complete) {
+            let job = self.view.jobs.get(&id);
+            if !job.is_some_and(Job::is_complete) {
                 continue;
             }
-            let Some(lead) = self.leader_cond() else {
-                return;
-            };
-            let mut conds = vec![
-                lead,
-                Cond {
-                    key: Key::Job(id.clone()).path(),
-                    version: job.version,
-                },
-            ];
-            let mut changes = Vec::new();
-            if job.spec.is_some() {
-                changes.push(put_job(id, job, phase));
+            if let Some((conds, changes)) = self.compaction(&id) {
+                self.compact(vec![id.clone()], conds, changes, Urgency::Safety);
             }
-            for (part, chunk) in job.chunks.iter().take(most) {
-                let key = Key::Chunk(id.clone(), *part).path();
-                conds.push(Cond {
-                    key: key.clone(),
-                    version: chunk.version,
-                });
-                changes.push(Change::Delete { key });
+            // Until the view shows it.
+            if let Some(leader) = &mut self.leader {
+                leader.complete.insert(id);
             }
-            todo.push((id.clone(), Txn { conds, changes }));
-            if todo.len() >= 4 {
-                break;
+        }
+    }
+
+    /// What makes a job that is over smaller: its description and chunks go
+    /// once nothing of it can be on a machine. Nothing if it is not over.
+    fn compaction(&self, id: &JobId) -> Option<(Vec<Cond>, Vec<Change>)> {
+        let job = self.view.jobs.get(id)?;
+        let complete = job.done >= job.tasks;
+        let phase = match job.phase {
+            Phase::Open if complete => Phase::Done,
+            Phase::Open => return None,
+            phase => phase,
+        };
+        let busy = |part: &u32| self.busy.contains_key(&(id.clone(), *part));
+        if job.handed_total() > 0 || job.chunks.keys().any(busy) {
+            return None;
+        }
+        let mut conds = vec![Cond {
+            key: Key::Job(id.clone()).path(),
+            version: job.version,
+        }];
+        let mut changes = Vec::new();
+        if job.spec.is_some() {
+            changes.push(self.put_final(id, job, phase));
+        }
+        let chunks = job.chunks.iter();
+        let chunks = chunks.map(|(part, chunk)| (Key::Chunk(id.clone(), *part), chunk.version));
+        let pieces = job.pieces.iter();
+        let pieces = pieces.map(|(k, piece)| (Key::More(id.clone(), *k), piece.version));
+        let most = self.limits().txn_ops;
+        for (key, version) in chunks.chain(pieces).take(most - changes.len()) {
+            let key = key.path();
+            conds.push(Cond {
+                key: key.clone(),
+                version,
+            });
+            changes.push(Change::Delete { key });
+        }
+        Some((conds, changes))
+    }
+
+    fn compact(
+        &mut self,
+        ids: Vec<JobId>,
+        mut conds: Vec<Cond>,
+        changes: Vec<Change>,
+        urgency: Urgency,
+    ) {
+        if let Some(lead) = self.leader_cond() {
+            conds.insert(0, lead);
+            self.duty(Duty::Tidy(ids), Txn { conds, changes }, urgency);
+        }
+    }
+
+    /// Compacts jobs that are over, several in one write: many may have been
+    /// cancelled with the same one.
+    fn tidy(&mut self) {
+        let Some(leader) = &self.leader else { return };
+        let under_way: BTreeSet<&JobId> = leader
+            .duties
+            .keys()
+            .filter_map(|duty| match duty {
+                Duty::Tidy(ids) => Some(ids),
+                Duty::Lease(_) => None,
+            })
+            .flatten()
+            .collect();
+        let limits = self.limits();
+        let mut batches: Vec<(Vec<JobId>, Vec<Cond>, Vec<Change>)> = Vec::new();
+        for id in self.view.active.iter().filter(|id| !under_way.contains(id)) {
+            let Some((conds, changes)) = self.compaction(id) else {
+                continue;
+            };
+            let count = batches.len();
+            let last = batches.last_mut().filter(|(_, c, ch)| {
+                c.len() + conds.len() < limits.txn_conds()
+                    && ch.len() + changes.len() <= limits.txn_ops
+            });
+            match last {
+                Some((ids, all_conds, all_changes)) => {
+                    ids.push(id.clone());
+                    all_conds.extend(conds);
+                    all_changes.extend(changes);
+                }
+                None if count >= MOST_BATCHES => break,
+                None => batches.push((vec![id.clone()], conds, changes)),
             }
         }
-        for (id, txn) in todo {
-            self.duty(Duty::Tidy(id), txn, Urgency::Tidy);
+        for (ids, conds, changes) in batches {
+            self.compact(ids, conds, changes, Urgency::Tidy);
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod slots;
 mod store;
 mod tuning;
+mod upgrade;
 mod view;
 
 pub use call::{Answer, Call, CallId, ConnId, Method, Output, Reply, Request, Side, Target};
--- a/crates/core/src/lists.rs
+++ b/crates/core/src/lists.rs
@@ -1,5 +1,6 @@
-//! Which machines are in which block: one record a block, written by the
-//! leader alone, for many machines at a time.
+//! Which machines are in which block: written by the leader alone, for many
+//! machines at a time. What does not fit a block's record goes into further
+//! ones.
 //!
 //! A machine must never be in two blocks. Only one write is under way, and one
 //! without an answer is sent again with the same conditions until it is
@@ -8,22 +9,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use oliveshift_wire::{
-    state::{Change, Cond, Txn},
+    state::{Change, Cond, Txn, json_len},
     worker::Report,
 };
+use rmpv::Value;
 
 use crate::{
     controller::Controller,
     recorder::Step,
-    records::{BlockId, Key, ListedMachine, MachineList, to_value},
+    records::{BlockId, Key, Level, ListedMachine, MachineList},
     store::{Outcome, Purpose, Urgency},
 };
 
-/// Most blocks in one write, and most machines in their lists: a transaction
-/// has a limit in bytes.
-const MOST_BLOCKS: usize = 8;
+/// Most lists in one write, and most machines in them: a transaction has a
+/// limit in bytes.
+const MOST_LISTS: usize = 8;
 const MOST_MACHINES: usize = 250;
-/// What a machine takes in its block's list, in bytes, at most.
+/// What a machine takes in its block's list at the first level, in bytes, at
+/// most.
 const ENTRY_BYTES: f64 = 200.0;
 
 /// A write under way.
@@ -31,8 +34,15 @@
 pub(crate) struct ListWrite {
     txn: Txn,
     step: Step,
+    /// It, or one before it on the same conditions, has got no answer.
+    in_doubt: bool,
+    /// The service does not take it as it is.
+    impossible: bool,
 }
 
+/// Lists to be written: by block and number.
+type Lists = BTreeMap<(BlockId, u32), Vec<ListedMachine>>;
+
 impl Controller {
     /// How many machines a block may have: enough blocks that each controller
     /// has several to give away, and few enough that leasing them anew after
@@ -41,8 +51,11 @@
         let waiting = self.leader.as_ref().map_or(0, |l| l.reports.len());
         let machines = self.view.machines.len() + waiting;
         let blocks = self.settings.peers_and_me() * self.tuning.blocks_each;
-        let fits = self.settings.params.state.value_kb * 1024.0 / ENTRY_BYTES;
-        let most = self.tuning.block_most.min(fits as usize);
+        let mut most = self.tuning.block_most;
+        if self.level() < Level::PIPELINES {
+            let fits = self.limits().value_kb * 1024.0 / ENTRY_BYTES;
+            most = most.min(fits as usize);
+        }
         machines
             .div_ceil(blocks.max(1))
             .clamp(self.tuning.block_least.min(most), most)
@@ -56,16 +69,10 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        if let Some(write) = &mut leader.lists {
+        if let Some(write) = &leader.lists {
             match write.step {
                 Step::Until(shown) if revision >= shown => leader.lists = None,
-                Step::Again(at) if now >= at => {
-                    let txn = write.txn.clone();
-                    if self.txn(txn.clone(), Purpose::Lists, Urgency::Safety) {
-                        self.note_lists(txn);
-                    }
-                    return;
-                }
+                Step::Again(at) if now >= at => return self.repeat_lists(),
                 _ => return,
             }
         }
@@ -76,6 +83,10 @@
         for zone in full {
             self.new_block(zone);
         }
+        self.write_lists(lists);
+    }
+
+    fn write_lists(&mut self, lists: Lists) {
         let Some(lead) = self.leader_cond().filter(|_| !lists.is_empty()) else {
             return;
         };
@@ -83,50 +94,144 @@
             conds: vec![lead],
             changes: Vec::new(),
         };
-        for (id, list) in &lists {
-            let key = Key::Machines(*id).path();
+        for ((id, piece), list) in lists {
+            let key = Key::Machines(id, piece).path();
             txn.conds.push(Cond {
                 key: key.clone(),
-                version: self.view.lists.get(id).copied().unwrap_or(0),
+                version: self.view.list_version(id, piece),
             });
             txn.changes.push(Change::Put {
                 key,
-                value: to_value(list),
+                value: self.list_value(id, list),
                 lease: None,
             });
         }
-        if self.txn(txn.clone(), Purpose::Lists, Urgency::Safety) {
-            self.note_lists(txn);
+        self.send_lists(txn, false);
+    }
+
+    fn send_lists(&mut self, txn: Txn, in_doubt: bool) {
+        if self.txn(txn.clone(), Purpose::Lists, Urgency::Safety)
+            && let Some(leader) = &mut self.leader
+        {
+            leader.lists = Some(ListWrite {
+                txn,
+                step: Step::Sent,
+                in_doubt,
+                impossible: false,
+            });
         }
     }
 
-    /// A write of lists is under way.
-    fn note_lists(&mut self, txn: Txn) {
-        if let Some(leader) = &mut self.leader {
-            let step = Step::Sent;
-            leader.lists = Some(ListWrite { txn, step });
+    /// Sends a write that got no answer once more. If it is larger than the
+    /// service takes by now, its repeat proves nothing: the first of its lists
+    /// is written as it was instead, which keeps the other from ever taking
+    /// effect or finds that it has.
+    fn repeat_lists(&mut self) {
+        let write = self.leader.as_ref().and_then(|l| l.lists.as_ref());
+        let Some((txn, impossible)) = write.map(|w| (w.txn.clone(), w.impossible)) else {
+            return;
+        };
+        if !impossible && self.fits(&txn) {
+            return self.send_lists(txn, true);
+        }
+        let first = txn.changes.first().and_then(|change| match change {
+            Change::Put { key, .. } | Change::Delete { key } => Key::parse(key),
+        });
+        let Some(Key::Machines(id, piece)) = first else {
+            return;
+        };
+        let key = Key::Machines(id, piece).path();
+        let version = self.view.list_version(id, piece);
+        if txn
+            .conds
+            .iter()
+            .any(|c| c.key == key && c.version != version)
+        {
+            // The view shows that it has changed, so the write is settled.
+            if let Some(leader) = &mut self.leader {
+                leader.lists = None;
+            }
+            return;
+        }
+        let mut lists = Lists::from([((id, piece), self.list_of(id, piece))]);
+        if self.cut_to_size(&mut lists) {
+            self.write_lists(lists);
+            if let Some(write) = self.leader.as_mut().and_then(|l| l.lists.as_mut()) {
+                write.in_doubt = true;
+            }
+        }
+    }
+
+    fn list_value(&self, id: BlockId, machines: Vec<ListedMachine>) -> Value {
+        let zone = self.view.blocks.get(&id).map(|b| b.record.zone.clone());
+        let zone = zone.unwrap_or_default();
+        MachineList::new(self.level(), zone, machines).to_value()
+    }
+
+    fn list_fits(&self, id: BlockId, machines: &[ListedMachine]) -> bool {
+        self.level() < Level::PIPELINES
+            || json_len(&self.list_value(id, machines.to_vec())) <= self.limits().value_bytes()
+    }
+
+    /// Most lists in one write.
+    fn most_lists(&self) -> usize {
+        MOST_LISTS.min(self.limits().txn_ops)
+    }
+
+    /// The number of a list that a block does not have yet.
+    fn next_piece(&self, id: BlockId, lists: &Lists) -> u32 {
+        let all = (id, 0)..=(id, u32::MAX);
+        let known = self.view.lists.range(all.clone()).next_back();
+        let planned = lists.range(all).next_back();
+        let last = known.map(|(at, _)| at.1).max(planned.map(|(at, _)| at.1));
+        last.map_or(0, |last| last + 1)
+    }
+
+    /// Lists may have been written when larger ones were allowed: what does
+    /// not fit goes into further lists in the same write. These come later in
+    /// the order of the keys, so that a first read, which reads page after
+    /// page, never misses a machine that moves meanwhile. False if that takes
+    /// more lists than one write can hold.
+    fn cut_to_size(&self, lists: &mut Lists) -> bool {
+        for at in lists.keys().copied().collect::<Vec<_>>() {
+            let (id, _) = at;
+            let mut from = at;
+            while let Some(list) = lists.get_mut(&from).filter(|l| !self.list_fits(id, l)) {
+                let mut over = Vec::new();
+                while !self.list_fits(id, list) {
+                    over.extend(list.pop());
+                }
+                from = (id, self.next_piece(id, lists));
+                lists.insert(from, over);
+            }
         }
+        lists.len() <= self.most_lists()
     }
 
     /// The lists that have to change, and the zones in which all blocks are
     /// full.
-    fn new_lists(&self) -> (BTreeMap<BlockId, MachineList>, BTreeSet<String>) {
-        let mut lists: BTreeMap<BlockId, MachineList> = BTreeMap::new();
+    fn new_lists(&self) -> (Lists, BTreeSet<String>) {
+        let mut lists = Lists::new();
         let mut full = BTreeSet::new();
-        let most = MOST_BLOCKS.min(self.settings.params.state.txn_ops);
+        let most = self.most_lists();
         let size = self.block_size();
-        let has_room = |lists: &BTreeMap<BlockId, MachineList>, id: &BlockId| {
-            let machines: usize = lists.values().map(|l| l.machines.len()).sum();
-            lists.contains_key(id) || (lists.len() < most && machines < MOST_MACHINES)
+        let has_room = |lists: &Lists, at: &(BlockId, u32)| {
+            let machines: usize = lists.values().map(Vec::len).sum();
+            lists.contains_key(at) || (lists.len() < most && machines < MOST_MACHINES)
         };
         for name in self.fleet.gone.keys() {
             let Some(machine) = self.view.machines.get(name) else {
                 continue;
             };
-            let id = machine.block;
-            if has_room(&lists, &id) {
-                let list = lists.entry(id).or_insert_with(|| self.list_of(id));
-                list.machines.retain(|m| m.name != *name);
+            let at = (machine.block, machine.piece);
+            if !has_room(&lists, &at) {
+                continue;
+            }
+            let mut trial = lists.clone();
+            let list = trial.entry(at).or_insert_with(|| self.list_of(at.0, at.1));
+            list.retain(|m| m.name != *name);
+            if self.cut_to_size(&mut trial) {
+                lists = trial;
             }
         }
         let mut taken: BTreeSet<&str> = BTreeSet::new();
@@ -136,9 +241,13 @@
             if known || self.fleet.returning(&report.machine) || !taken.insert(&report.machine) {
                 continue;
             }
-            let count = |id: &BlockId| match lists.get(id) {
-                Some(list) => list.machines.len(),
-                None => self.view.count_in(id),
+            // How many a block has by the lists as they will be.
+            let count = |id: &BlockId| {
+                let planned = lists.range((*id, 0)..=(*id, u32::MAX));
+                planned.fold(self.view.count_in(id), |n, (at, list)| {
+                    let before = self.view.lists.get(at).map_or(0, |l| l.names.len());
+                    (n + list.len()).saturating_sub(before)
+                })
             };
             let blocks = self.view.blocks.iter();
             let mut open = blocks
@@ -149,17 +258,36 @@
                 continue;
             }
             // What this write can't hold goes into the next.
-            let Some((id, _)) = open.find(|(id, _)| has_room(&lists, id)) else {
-                continue;
-            };
-            let list = lists.entry(*id).or_insert_with(|| self.list_of(*id));
-            list.machines.push(listed(report));
+            let place = open.find_map(|(id, _)| {
+                let (at, list) = self.list_with(*id, &lists, listed(report))?;
+                has_room(&lists, &at).then_some((at, list))
+            });
+            if let Some((at, list)) = place {
+                lists.insert(at, list);
+            }
         }
         (lists, full)
     }
 
-    fn list_of(&self, id: BlockId) -> MachineList {
-        let names = self.view.in_block.get(&id).into_iter().flatten();
+    /// The first of a block's lists that has room for a machine, with it; a
+    /// new one if need be. None if the machine alone is too large.
+    fn list_with(
+        &self,
+        id: BlockId,
+        lists: &Lists,
+        machine: ListedMachine,
+    ) -> Option<((BlockId, u32), Vec<ListedMachine>)> {
+        (0..=self.next_piece(id, lists)).find_map(|piece| {
+            let at = (id, piece);
+            let planned = lists.get(&at).cloned();
+            let mut list = planned.unwrap_or_else(|| self.list_of(id, piece));
+            list.push(machine.clone());
+            self.list_fits(id, &list).then_some((at, list))
+        })
+    }
+
+    fn list_of(&self, id: BlockId, piece: u32) -> Vec<ListedMachine> {
+        let listing = self.view.lists.get(&(id, piece));
         let machine = |name: &String| {
             let record = self.view.machines.get(name)?;
             Some(ListedMachine {
@@ -169,19 +297,19 @@
                 addr: record.addr.clone(),
             })
         };
-        let zone = self.view.blocks.get(&id).map(|b| b.record.zone.clone());
-        MachineList {
-            zone: zone.unwrap_or_default(),
-            machines: names.filter_map(machine).collect(),
-        }
+        let names = listing.into_iter().flat_map(|l| &l.names);
+        names.filter_map(machine).collect()
     }
 
     pub(crate) fn lists_written(&mut self, txn: &Txn, outcome: Outcome) {
-        let step = Step::after(outcome, self.now);
+        let now = self.now;
         let Some(leader) = &mut self.leader else {
             return;
         };
-        if let Some(write) = leader.lists.take_if(|w| w.txn == *txn) {
+        if let Some(mut write) = leader.lists.take_if(|w| w.txn == *txn) {
+            write.in_doubt |= outcome == Outcome::Unknown;
+            write.impossible = outcome == Outcome::Impossible;
+            let step = Step::after(outcome, write.in_doubt, now);
             leader.lists = step.map(|step| ListWrite { step, ..write });
         }
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -34,7 +34,8 @@
             .iter()
             .filter_map(|task| match self.slots.get(task)?.state {
                 State::Free { not_before, .. } if not_before <= now => {
-                    Some((self.slots.get(task)?.spec.priority, task.clone()))
+                    let spec = &self.slots.get(task)?.spec;
+                    Some((self.view.priority(&task.job, spec), task.clone()))
                 }
                 _ => None,
             })
--- a/crates/core/src/recorder.rs
+++ b/crates/core/src/recorder.rs
@@ -4,12 +4,12 @@
 
 use oliveshift_wire::{
     JobId,
-    state::{Change, Cond, Txn},
+    state::{Change, Cond, Txn, json_len},
 };
 
 use crate::{
     controller::Controller,
-    records::{ChunkRecord, JobRecord, Key, Phase, Place, to_value},
+    records::{ChunkRecord, JobRecord, Key, Level, Phase, Place},
     slots::State,
     store::{Outcome, Purpose, Urgency},
     view::Job,
@@ -38,6 +38,11 @@
     base: u64,
     txn: Txn,
     step: Step,
+    /// It, or one before it on the same conditions, has got no answer: it may
+    /// have been executed or may be yet, whatever a repeat is told.
+    in_doubt: bool,
+    /// The service does not take it as it is.
+    impossible: bool,
     /// Tasks that the write hands out, with their blocks: they count as
     /// handed while it may still take effect.
     pub handed: Vec<(u32, u32)>,
@@ -54,30 +59,28 @@
 }
 
 impl Step {
-    /// What follows from a write's outcome; none if it was surely not executed.
-    pub fn after(outcome: Outcome, now: Duration) -> Option<Self> {
+    /// What follows from a write's outcome; none if nothing of it can take
+    /// effect any more. `in_doubt`: an earlier request for it got no answer,
+    /// so that a refusal of this one proves nothing.
+    pub fn after(outcome: Outcome, in_doubt: bool, now: Duration) -> Option<Self> {
         match outcome {
             Outcome::Done(revision) | Outcome::Conflict(revision) => Some(Self::Until(revision)),
             Outcome::Unknown => Some(Self::Again(now + RETRY)),
-            Outcome::Refused | Outcome::NoLease => None,
+            Outcome::Refused | Outcome::Impossible | Outcome::NoLease => {
+                in_doubt.then_some(Self::Again(now + RETRY))
+            }
         }
     }
 }
 
-/// A change that writes a job's record.
-pub(crate) fn put_job(id: &JobId, job: &Job, phase: Phase) -> Change {
-    let record = JobRecord {
-        phase,
-        tasks: job.tasks,
-        at_ms: job.at_ms,
-        chunk: job.chunk,
-        spec: None,
-    };
-    Change::Put {
-        key: Key::Job(id.clone()).path(),
-        value: to_value(&record),
-        lease: None,
-    }
+/// What a chunk's news asks for.
+enum Wanted {
+    /// Nothing.
+    Nothing,
+    /// A write for which there is no room in the record yet.
+    Later,
+    /// This write.
+    Write(Txn),
 }
 
 impl Controller {
@@ -114,10 +117,11 @@
                 Urgency::Later
             };
             match self.chunk_news(&id, part) {
-                None => {
+                Wanted::Nothing => {
                     self.dirty.remove(&(id, part));
                 }
-                Some(txn) => {
+                Wanted::Later => self.look_again(id, part, now + PATIENCE),
+                Wanted::Write(txn) => {
                     if self.write_chunk(&id, part, txn, Vec::new(), urgency) {
                         self.dirty.remove(&(id, part));
                     } else {
@@ -167,15 +171,22 @@
         !more
     }
 
-    /// The write that a chunk's news asks for; none if there are none.
-    fn chunk_news(&self, id: &JobId, part: u32) -> Option<Txn> {
-        let job = self.view.jobs.get(id)?;
-        let chunk = job.chunks.get(&part)?;
+    /// The write that a chunk's news asks for.
+    fn chunk_news(&self, id: &JobId, part: u32) -> Wanted {
+        let Some(job) = self.view.jobs.get(id) else {
+            return Wanted::Nothing;
+        };
+        let Some(chunk) = job.chunks.get(&part) else {
+            return Wanted::Nothing;
+        };
+        let limits = self.limits();
         let (first, _) = job.chunk_span(part);
         let mut places = chunk.places.clone();
-        let mut conds = Vec::new();
         let mut done = 0;
         let mut blocks = Vec::new();
+        // The other conditions are on the chunk and the job; what goes beyond
+        // the limit goes with the next write.
+        let most_blocks = limits.txn_conds().saturating_sub(2);
         for (i, place) in places.iter_mut().enumerate() {
             let Place::Handed { block, term } = *place else {
                 continue;
@@ -184,7 +195,9 @@
             let Some(slot) = self.slots.get(&task) else {
                 continue;
             };
-            if (slot.block, slot.handed) != (block, term) {
+            let known = blocks.contains(&block);
+            if (slot.block, slot.handed) != (block, term) || (!known && blocks.len() >= most_blocks)
+            {
                 continue;
             }
             match slot.state {
@@ -195,23 +208,27 @@
                 State::Leaving => *place = Place::Waiting,
                 _ => continue,
             }
-            if !blocks.contains(&block) {
+            if !known {
                 blocks.push(block);
             }
         }
         if blocks.is_empty() {
-            return None;
+            return Wanted::Nothing;
         }
         #[cfg(feature = "sabotage")]
         if self.sabotage == Some(crate::Sabotage::NoTerms) {
             blocks.truncate(0);
         }
+        let mut conds = Vec::new();
         for block in blocks {
             // Only the holder may say that a task is nowhere: once the block
             // is leased anew, the next holder may have started it again.
+            let Some(held) = self.held.get(&block) else {
+                return Wanted::Nothing;
+            };
             conds.push(Cond {
                 key: Key::Block(block).path(),
-                version: self.held.get(&block)?.term,
+                version: held.term,
             });
         }
         let key = Key::Chunk(id.clone(), part).path();
@@ -225,25 +242,77 @@
                 key: Key::Job(id.clone()).path(),
                 version: job.version,
             });
-            let mut changes = vec![put_job(id, job, Phase::Done)];
+            let mut changes = vec![self.put_final(id, job, Phase::Done)];
             // The other chunks are done, so none of them changes any more.
-            let most = self.settings.params.state.txn_ops - 1;
             let parts = job.chunks.keys().copied().filter(|p| *p != part);
-            let parts = std::iter::once(part).chain(parts).take(most);
+            let parts = std::iter::once(part).chain(parts).take(limits.txn_ops - 1);
             changes.extend(parts.map(|p| Change::Delete {
                 key: Key::Chunk(id.clone(), p).path(),
             }));
-            return Some(Txn { conds, changes });
+            return Wanted::Write(Txn { conds, changes });
         }
-        let value = to_value(&ChunkRecord::pack(first, &places));
-        let put = Change::Put {
-            key,
-            value,
+        match self.put_chunk(key, first, places) {
+            Some(put) => Wanted::Write(Txn {
+                conds,
+                changes: vec![put],
+            }),
+            None => Wanted::Later,
+        }
+    }
+
+    /// A change that ends a job's record.
+    pub(crate) fn put_final(&self, id: &JobId, job: &Job, phase: Phase) -> Change {
+        let mut record = JobRecord {
+            phase,
+            ..job.record()
+        };
+        if self.level() >= Level::PIPELINES {
+            record.service = job.service;
+            let now = self.day.as_millis() as u64;
+            record.done_ms = (phase == Phase::Done).then_some(now);
+        }
+        Change::Put {
+            key: Key::Job(id.clone()).path(),
+            value: record.to_value(self.level()),
             lease: None,
+        }
+    }
+
+    /// A change that writes a chunk's record; none if it would be too large.
+    /// Where need be, terms that are over are not told apart any more: a task
+    /// handed under any of them waits for the same proof.
+    pub(crate) fn put_chunk(
+        &self,
+        key: String,
+        first: u32,
+        mut places: Vec<Place>,
+    ) -> Option<Change> {
+        let (level, most) = (self.level(), self.limits().value_bytes());
+        let pack = |places: &[Place]| {
+            let value = ChunkRecord::pack(level, first, places)?.to_value();
+            (level < Level::PIPELINES || json_len(&value) <= most).then_some(value)
         };
-        Some(Txn {
-            conds,
-            changes: vec![put],
+        let value = pack(&places).or_else(|| {
+            for place in &mut places {
+                if let Place::Handed { block, term } = place
+                    && self
+                        .view
+                        .blocks
+                        .get(block)
+                        .is_none_or(|b| b.version > *term)
+                {
+                    *term = 0;
+                }
+            }
+            pack(&places)
+        });
+        if value.is_none() {
+            log::error!("{key}: too large to be written");
+        }
+        Some(Change::Put {
+            key,
+            value: value?,
+            lease: None,
         })
     }
 
@@ -264,6 +333,8 @@
             base,
             txn,
             step: Step::Sent,
+            in_doubt: false,
+            impossible: false,
             handed,
         };
         self.busy.insert((id.clone(), part), busy);
@@ -282,12 +353,19 @@
         if busy.txn != txn {
             return;
         }
-        match Step::after(outcome, now) {
+        busy.in_doubt |= outcome == Outcome::Unknown;
+        busy.impossible = outcome == Outcome::Impossible;
+        let wait = if busy.impossible { PATIENCE } else { RETRY };
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::RefusalSettles) {
+            busy.in_doubt = false;
+        }
+        match Step::after(outcome, busy.in_doubt, now) {
             Some(step) => busy.step = step,
             None => {
                 self.busy.remove(&key);
                 let (id, part) = key;
-                self.look_again(id, part, now + RETRY);
+                self.look_again(id, part, now + wait);
             }
         }
         self.busy_progress();
@@ -317,15 +395,50 @@
             .busy
             .iter()
             .filter(|(_, b)| matches!(b.step, Step::Again(at) if now >= at))
-            .map(|(key, b)| (key.clone(), b.txn.clone()))
+            .map(|(key, b)| {
+                (
+                    key.clone(),
+                    b.impossible || !self.fits(&b.txn),
+                    b.txn.clone(),
+                )
+            })
             .collect();
-        for ((id, part), txn) in again {
+        for ((id, part), too_large, mut txn) in again {
+            if too_large {
+                // Its repeat is refused, and that proves nothing. The same
+                // chunk written as it was keeps it from ever taking effect,
+                // or finds that it has.
+                match self.rewritten(&id, part) {
+                    Some(small) => txn = small,
+                    None => continue,
+                }
+            }
             let purpose = Purpose::Chunk(id.clone(), part);
-            if self.txn(txn, purpose, Urgency::Safety)
+            if self.txn(txn.clone(), purpose, Urgency::Safety)
                 && let Some(busy) = self.busy.get_mut(&(id, part))
             {
                 busy.step = Step::Sent;
+                busy.txn = txn;
             }
         }
     }
+
+    /// A write that changes nothing of a chunk but its version.
+    fn rewritten(&self, id: &JobId, part: u32) -> Option<Txn> {
+        let job = self.view.jobs.get(id)?;
+        let (first, count) = job.chunk_span(part);
+        let places = match job.chunks.get(&part) {
+            Some(chunk) => chunk.places.clone(),
+            None => vec![Place::Waiting; count],
+        };
+        let key = Key::Chunk(id.clone(), part).path();
+        let cond = Cond {
+            key: key.clone(),
+            version: self.view.chunk_version(id, part),
+        };
+        Some(Txn {
+            conds: vec![cond],
+            changes: vec![self.put_chunk(key, first, places)?],
+        })
+    }
 }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,8 +1,11 @@
 //! The records in the state service: the only thing that outlives a process.
 
-use oliveshift_wire::{JobId, job::JobSpec};
+use std::collections::BTreeMap;
+
+use oliveshift_wire::{JobId, job::JobSpec, settings::StateLimits, state::json_len};
 use rmpv::Value;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use thiserror::Error;
 
 /// The prefix of all keys.
 pub const ROOT: &str = "oliveshift/";
@@ -12,6 +15,21 @@
 /// The version of a block's record: its workers' token.
 pub type Term = u64;
 
+/// The format of the records that a controller writes and can read. See
+/// docs/design.md, "Two versions at once".
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Level(pub u32);
+
+impl Level {
+    /// The first form: jobs do not await others.
+    pub const FIRST: Self = Self(1);
+    /// Jobs that await others, records that fit 2 KiB.
+    pub const PIPELINES: Self = Self(2);
+    /// What this program reads and writes.
+    pub const OWN: Self = Self::PIPELINES;
+}
+
 /// A key, taken apart.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Key {
@@ -21,14 +39,22 @@
     Member(String),
     /// The lease of a block.
     Block(BlockId),
-    /// The machines of a block.
-    Machines(BlockId),
+    /// The machines of a block; the list is continued under further numbers.
+    Machines(BlockId, u32),
     /// A job.
     Job(JobId),
+    /// What of a job's description does not fit its record.
+    More(JobId, u32),
     /// Part of a job's tasks.
     Chunk(JobId, u32),
     /// The operators' settings.
     Settings,
+    /// The format in which all controllers write.
+    Format,
+    /// The format that a controller is able to read and write.
+    Level(String),
+    /// The lower limits of the state service hold.
+    Lowered,
 }
 
 impl Key {
@@ -38,33 +64,65 @@
             Self::Leader => format!("{ROOT}leader"),
             Self::Member(name) => format!("{ROOT}member/{name}"),
             Self::Block(id) => format!("{ROOT}block/{id}"),
-            Self::Machines(id) => format!("{ROOT}machines/{id}"),
+            Self::Machines(id, 0) => format!("{ROOT}machines/{id}"),
+            Self::Machines(id, piece) => format!("{ROOT}machines/{id}/{piece}"),
             Self::Job(id) => format!("{ROOT}job/{id}"),
+            Self::More(id, piece) => format!("{ROOT}more/{id}/{piece}"),
             Self::Chunk(id, part) => format!("{ROOT}part/{id}/{part}"),
             Self::Settings => format!("{ROOT}settings"),
+            Self::Format => format!("{ROOT}format"),
+            Self::Level(name) => format!("{ROOT}level/{name}"),
+            Self::Lowered => format!("{ROOT}lowered"),
         }
     }
 
     /// Takes a key apart; none for keys that we don't know.
     pub fn parse(path: &str) -> Option<Self> {
+        fn numbered<T: std::str::FromStr>(rest: &str) -> Option<(T, u32)> {
+            let (id, number) = rest.split_once('/')?;
+            Some((id.parse().ok()?, number.parse().ok()?))
+        }
         let rest = path.strip_prefix(ROOT)?;
         Some(match rest.split_once('/') {
-            None if rest == "leader" => Self::Leader,
-            None if rest == "settings" => Self::Settings,
-            None => return None,
+            None => match rest {
+                "leader" => Self::Leader,
+                "settings" => Self::Settings,
+                "format" => Self::Format,
+                "lowered" => Self::Lowered,
+                _ => return None,
+            },
             Some(("member", name)) => Self::Member(name.to_owned()),
+            Some(("level", name)) => Self::Level(name.to_owned()),
             Some(("block", id)) => Self::Block(id.parse().ok()?),
-            Some(("machines", id)) => Self::Machines(id.parse().ok()?),
+            Some(("machines", rest)) => match rest.parse() {
+                Ok(id) => Self::Machines(id, 0),
+                Err(_) => numbered(rest).map(|(id, piece)| Self::Machines(id, piece))?,
+            },
             Some(("job", id)) => Self::Job(id.parse().ok()?),
-            Some(("part", rest)) => {
-                let (job, part) = rest.split_once('/')?;
-                Self::Chunk(job.parse().ok()?, part.parse().ok()?)
-            }
+            Some(("more", rest)) => numbered(rest).map(|(id, k)| Self::More(id, k))?,
+            Some(("part", rest)) => numbered(rest).map(|(id, k)| Self::Chunk(id, k))?,
             Some(_) => return None,
         })
     }
 }
 
+/// `format`, written once for each new level.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormatRecord {
+    /// The level of which all controllers are.
+    pub level: Level,
+}
+
+/// `level/NAME`: what a controller is able to read and write. Outlives it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LevelRecord {
+    /// Its level.
+    pub level: Level,
+    /// The incarnation that this was found out of; 0: an operator's word that
+    /// the controller never comes back.
+    pub incarnation: u64,
+}
+
 /// `leader` and `member/NAME`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -89,14 +147,33 @@
 
 /// `machines/ID`: the machines of a block. A machine is taken out only when it
 /// is surely gone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MachineList {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MachineList {
+    /// The first level's form.
+    Long(LongList),
+    /// From the second level on: half of the size.
+    Short(ShortList),
+}
+
+/// The first level's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LongList {
     /// The zone of the block.
     pub zone: String,
     /// Its machines.
     pub machines: Vec<ListedMachine>,
 }
 
+/// The second level's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShortList {
+    /// The zone of the block.
+    pub zone: String,
+    /// Its machines by type: ordinary ones, then spot ones, each with name and
+    /// address.
+    pub kinds: BTreeMap<String, [Vec<(String, String)>; 2]>,
+}
+
 /// A machine of a block. Never changes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedMachine {
@@ -110,11 +187,66 @@
     pub addr: String,
 }
 
+impl MachineList {
+    /// A list in the form of a level.
+    pub fn new(level: Level, zone: String, machines: Vec<ListedMachine>) -> Self {
+        if level < Level::PIPELINES {
+            return Self::Long(LongList { zone, machines });
+        }
+        let mut kinds: BTreeMap<String, [Vec<_>; 2]> = BTreeMap::new();
+        for machine in machines {
+            let lists = kinds.entry(machine.kind).or_default();
+            lists[usize::from(machine.spot)].push((machine.name, machine.addr));
+        }
+        Self::Short(ShortList { zone, kinds })
+    }
+
+    /// The value in the store.
+    pub fn to_value(&self) -> Value {
+        match self {
+            Self::Long(list) => to_list(list),
+            Self::Short(list) => to_map(list),
+        }
+    }
+
+    /// Reads either form.
+    pub fn from_value(value: Value) -> Option<Self> {
+        if value.is_map() {
+            from_value(value).map(Self::Short)
+        } else {
+            from_value(value).map(Self::Long)
+        }
+    }
+
+    /// The zone and the machines, whatever the form.
+    pub fn into_parts(self) -> (String, Vec<ListedMachine>) {
+        match self {
+            Self::Long(LongList { zone, machines }) => (zone, machines),
+            Self::Short(ShortList { zone, kinds }) => {
+                let mut machines = Vec::new();
+                for (kind, lists) in kinds {
+                    for (spot, list) in [false, true].into_iter().zip(lists) {
+                        machines.extend(list.into_iter().map(|(name, addr)| ListedMachine {
+                            name,
+                            kind: kind.clone(),
+                            spot,
+                            addr,
+                        }));
+                    }
+                }
+                (zone, machines)
+            }
+        }
+    }
+}
+
 /// A machine as the records have it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MachineRecord {
     /// The block that it belongs to.
     pub block: BlockId,
+    /// Which of the block's keys names it.
+    pub piece: u32,
     /// The machine type.
     pub kind: String,
     /// Its zone.
@@ -137,7 +269,7 @@
     Cancelled,
 }
 
-/// `job/ID`.
+/// `job/ID`. The fields with a default came with the second level.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Its phase.
@@ -151,6 +283,233 @@
     /// The description; left out once nothing of the job is anywhere.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<JobSpec>,
+    /// How many records `more/ID/K` continue the description.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub more: u32,
+    /// When it was done, in ms of the time of day: those that await it count
+    /// from then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done_ms: Option<u64>,
+    /// A service, without its description: it must not be awaited.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub service: bool,
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+/// `more/ID/K`: what of a description does not fit its record, in the order of
+/// the numbers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MoreRecord {
+    /// Machine types allowed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub types: Vec<String>,
+    /// Part of the text that names the awaited jobs.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub awaits: String,
+}
+
+/// Why a job can't be recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum TooLarge {
+    /// Its names alone are too long.
+    #[error("the job's names are too long to be kept")]
+    Names,
+    /// It names too many types and jobs.
+    #[error("the job names more machine types and jobs than can be kept")]
+    Lists,
+}
+
+impl JobRecord {
+    /// The value in the store. At the first level it is a list, which must not
+    /// have one field more than programs of that level know.
+    pub fn to_value(&self, level: Level) -> Value {
+        if level < Level::PIPELINES {
+            to_list(self)
+        } else {
+            to_map(self)
+        }
+    }
+
+    /// The records that keep a job: this one whole if it fits, or else with
+    /// its lists in further records.
+    pub fn split(
+        mut self,
+        id: &JobId,
+        level: Level,
+        limits: &StateLimits,
+    ) -> Result<Vec<(Key, Value)>, TooLarge> {
+        let most = limits.value_bytes();
+        let whole = self.to_value(level);
+        if json_len(&whole) <= most {
+            return Ok(vec![(Key::Job(id.clone()), whole)]);
+        }
+        let mut pieces = Vec::new();
+        if let Some(spec) = &mut self.spec {
+            let types = spec.types.as_mut().map(std::mem::take);
+            let awaits = pack_ids(&std::mem::take(&mut spec.awaits));
+            pieces = MoreRecord::pieces(types.unwrap_or_default(), &awaits, most);
+        }
+        self.more = pieces.len() as u32;
+        let short = self.to_value(level);
+        if json_len(&short) > most {
+            return Err(TooLarge::Names);
+        }
+        let mut records = vec![(Key::Job(id.clone()), short)];
+        records.extend(pieces.iter().enumerate().map(|(k, piece)| {
+            let key = Key::More(id.clone(), k as u32);
+            (key, to_map(piece))
+        }));
+        if records.len() > limits.txn_ops {
+            return Err(TooLarge::Lists);
+        }
+        Ok(records)
+    }
+
+    /// Makes a description whole again.
+    pub fn join<'a>(
+        mut spec: JobSpec,
+        pieces: impl IntoIterator<Item = &'a MoreRecord>,
+    ) -> Option<JobSpec> {
+        let mut awaits = String::new();
+        for piece in pieces {
+            if let Some(types) = &mut spec.types {
+                types.extend(piece.types.iter().cloned());
+            }
+            awaits += &piece.awaits;
+        }
+        if !awaits.is_empty() {
+            spec.awaits = unpack_ids(&awaits)?;
+        }
+        Some(spec)
+    }
+
+    /// The same without what nobody needs of a job that is cancelled, as the
+    /// record may have been written when larger ones were allowed.
+    pub fn trimmed(mut self, level: Level, most: usize) -> Self {
+        if json_len(&self.to_value(level)) > most
+            && let Some(spec) = &mut self.spec
+        {
+            spec.types = None;
+            spec.awaits.clear();
+        }
+        if json_len(&self.to_value(level)) > most
+            && let Some(spec) = &mut self.spec
+        {
+            spec.class.clear();
+            spec.image.clear();
+        }
+        self
+    }
+}
+
+impl MoreRecord {
+    /// Cuts lists into records of at most so many bytes.
+    fn pieces(types: Vec<String>, awaits: &str, most: usize) -> Vec<Self> {
+        let mut pieces = vec![Self::default()];
+        for kind in types {
+            // What a type adds, with its comma, is at most its own length in
+            // JSON and one more.
+            let last = pieces.last().map_or(0, |p| json_len(&to_map(p))) + "\"types\":[],".len();
+            if last + json_len(&kind) + 1 > most {
+                pieces.push(Self::default());
+            }
+            if let Some(piece) = pieces.last_mut() {
+                piece.types.push(kind);
+            }
+        }
+        let mut rest = awaits;
+        while !rest.is_empty() {
+            let last = pieces.last().map_or(0, |p| json_len(&to_map(p))) + ",\"awaits\":\"\"".len();
+            let fits = most.saturating_sub(last).min(rest.len());
+            let (now, later) = rest.split_at(fits);
+            if let Some(piece) = pieces.last_mut() {
+                piece.awaits.push_str(now);
+            }
+            rest = later;
+            if !rest.is_empty() {
+                pieces.push(Self::default());
+            }
+        }
+        pieces
+    }
+}
+
+/// Digits in which differences are written.
+const DIGITS: &[u8; 36] = b"0123456789abcdefghijklmnopqrstuvwxyz";
+/// The most digits of an id that is written as a number.
+const NUMBER_DIGITS: usize = 18;
+
+/// Many ids as a short text: per length of the ids the differences between
+/// neighbours (`6:a3.1.1f`), ids that are too long for numbers as they are.
+pub fn pack_ids(ids: &[JobId]) -> String {
+    let mut groups: BTreeMap<usize, Vec<&str>> = BTreeMap::new();
+    for id in ids {
+        groups
+            .entry(id.digits().len())
+            .or_default()
+            .push(id.digits());
+    }
+    let mut text = String::new();
+    for (len, mut digits) in groups {
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text += &format!("{len}:");
+        digits.sort_unstable();
+        let mut before = 0;
+        for (i, digits) in digits.into_iter().enumerate() {
+            if i > 0 {
+                text.push('.');
+            }
+            match digits.parse::<u64>() {
+                Ok(number) if len <= NUMBER_DIGITS => {
+                    push_number(&mut text, number - before);
+                    before = number;
+                }
+                _ => text += digits,
+            }
+        }
+    }
+    text
+}
+
+fn push_number(text: &mut String, mut number: u64) {
+    let mut digits = Vec::new();
+    loop {
+        digits.push(DIGITS[(number % 36) as usize]);
+        number /= 36;
+        if number == 0 {
+            break;
+        }
+    }
+    text.extend(digits.into_iter().rev().map(char::from));
+}
+
+/// The ids of such a text, in order; none if it is not one.
+pub fn unpack_ids(text: &str) -> Option<Vec<JobId>> {
+    let mut ids = Vec::new();
+    for group in text.split(',') {
+        let (len, rest) = group.split_once(':')?;
+        let len: usize = len.parse().ok()?;
+        let mut number = 0u64;
+        for part in rest.split('.') {
+            let digits = if len <= NUMBER_DIGITS {
+                number = number.checked_add(u64::from_str_radix(part, 36).ok()?)?;
+                format!("{number:0len$}")
+            } else {
+                part.to_owned()
+            };
+            if digits.len() != len {
+                return None;
+            }
+            ids.push(JobId::from_digits(&digits).ok()?);
+        }
+    }
+    ids.sort();
+    Some(ids)
 }
 
 /// Where a task is, as recorded.
@@ -170,48 +529,142 @@
     Done,
 }
 
-/// `part/ID/K`: a chunk of a job. The key sorts behind `job/`, so that a first read meets each job before its chunks. Ranges of tasks, from and up to, numbered within the job.
-/// Tasks in no range wait. Lists instead of maps keep the worst case (every
-/// task a range of its own) within the store's limit for values.
+/// `part/ID/K`: a chunk of a job. The key sorts behind `job/`, so that a first
+/// read meets each job before its chunks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChunkRecord {
+    /// The first level's.
+    Ranges(Ranges),
+    /// From the second level on.
+    Letters(Letters),
+}
+
+/// Ranges of tasks, from and up to, numbered within the job. Tasks in no range
+/// wait. The worst case takes 50 bytes a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChunkRecord {
+pub struct Ranges {
     /// Ranges of done tasks.
     pub done: Vec<(u32, u32)>,
     /// Ranges handed to a block under a term.
     pub handed: Vec<(u32, u32, BlockId, Term)>,
 }
 
-/// The most that one task can add to a chunk's record, in the JSON form in
-/// which the limits count: `[100000,100000,4294967295,9007199254740992],`.
+/// A letter for each task, and the blocks and terms that the letters stand
+/// for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Letters {
+    /// The blocks and their terms.
+    pub to: Vec<(BlockId, Term)>,
+    /// What is with each task.
+    pub tasks: String,
+}
+
+/// The most that one task can add to a chunk's record at the first level:
+/// `[100000,100000,4294967295,9007199254740992],`.
 const RANGE_BYTES: f64 = 50.0;
+/// The same for a block and its term in the second level's form:
+/// `[4294967295,9007199254740992],`.
+const PAIR_BYTES: usize = 30;
+/// What such a record has besides: `{"to":[],"tasks":""}` and some more.
+const LETTERS_BYTES: usize = 40;
+/// Most tasks in a chunk.
+const CHUNK: u32 = 256;
+/// A task that waits, one that is done, and those for blocks. None of them
+/// takes more than one byte in JSON.
+const WAITING: u8 = b'.';
+const DONE: u8 = b'+';
+const LETTERS: &[u8; 90] =
+    b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz!#$%&'()*,-/:;<=>?@[]^_`{|}~";
 
 /// How many tasks a chunk may hold for the store to take its record.
-pub fn chunk_size(value_kb: f64) -> u32 {
+pub fn chunk_size(level: Level, value_kb: f64) -> u32 {
+    if level >= Level::PIPELINES {
+        return CHUNK;
+    }
     let fits = (value_kb.min(48.0) * 1024.0 - 200.0) / RANGE_BYTES;
-    (fits as u32).clamp(8, 256)
+    (fits as u32).clamp(8, CHUNK)
+}
+
+/// To how many blocks under as many terms the tasks of a chunk may be handed
+/// for the store to take its record, whatever the numbers are.
+pub fn pairs_at_most(level: Level, value_bytes: usize, count: usize) -> usize {
+    if level < Level::PIPELINES {
+        return usize::MAX;
+    }
+    let fits = value_bytes.saturating_sub(LETTERS_BYTES + count) / PAIR_BYTES;
+    fits.min(LETTERS.len())
 }
 
 impl ChunkRecord {
-    /// Packs places of the tasks from `first` on into ranges.
-    pub fn pack(first: u32, places: &[Place]) -> Self {
-        let mut record = Self::default();
+    /// Packs the places of the tasks from `first` on, in the form of a level.
+    /// None if the letters do not suffice.
+    pub fn pack(level: Level, first: u32, places: &[Place]) -> Option<Self> {
+        if level < Level::PIPELINES {
+            Some(Self::ranges(first, places))
+        } else {
+            Self::letters(places)
+        }
+    }
+
+    /// The value in the store.
+    pub fn to_value(&self) -> Value {
+        match self {
+            Self::Ranges(ranges) => to_list(ranges),
+            Self::Letters(letters) => to_map(letters),
+        }
+    }
+
+    /// Reads either form.
+    pub fn from_value(value: Value) -> Option<Self> {
+        if value.is_map() {
+            from_value(value).map(Self::Letters)
+        } else {
+            from_value(value).map(Self::Ranges)
+        }
+    }
+
+    fn ranges(first: u32, all: &[Place]) -> Self {
+        let mut ranges = Ranges::default();
         let mut at = 0;
-        while at < places.len() {
-            let place = places[at];
-            let run = places[at..].iter().take_while(|p| **p == place).count();
+        while at < all.len() {
+            let place = all[at];
+            let run = all[at..].iter().take_while(|p| **p == place).count();
             let (from, to) = (first + at as u32, first + (at + run) as u32);
             match place {
                 Place::Waiting => {}
-                Place::Done => record.done.push((from, to)),
-                Place::Handed { block, term } => record.handed.push((from, to, block, term)),
+                Place::Done => ranges.done.push((from, to)),
+                Place::Handed { block, term } => {
+                    ranges.handed.push((from, to, block, term));
+                }
             }
             at += run;
         }
-        record
+        Self::Ranges(ranges)
     }
 
-    /// Unpacks the places of `count` tasks from `first` on.
-    pub fn unpack(&self, first: u32, count: usize) -> Vec<Place> {
+    fn letters(places: &[Place]) -> Option<Self> {
+        let Letters { mut to, mut tasks } = Letters::default();
+        for place in places {
+            let letter = match place {
+                Place::Waiting => WAITING,
+                Place::Done => DONE,
+                Place::Handed { block, term } => {
+                    let pair = (*block, *term);
+                    let at = to.iter().position(|p| *p == pair).unwrap_or_else(|| {
+                        to.push(pair);
+                        to.len() - 1
+                    });
+                    *LETTERS.get(at)?
+                }
+            };
+            tasks.push(char::from(letter));
+        }
+        Some(Self::Letters(Letters { to, tasks }))
+    }
+
+    /// Unpacks the places of `count` tasks from `first` on. A letter that
+    /// stands for nothing can't be read: none.
+    pub fn unpack(&self, first: u32, count: usize) -> Option<Vec<Place>> {
         let mut places = vec![Place::Waiting; count];
         let mut fill = |from: u32, to: u32, place| {
             for at in from.max(first)..to {
@@ -222,30 +675,67 @@
                 }
             }
         };
-        for &(from, to, block, term) in &self.handed {
-            fill(from, to, Place::Handed { block, term });
-        }
-        for &(from, to) in &self.done {
-            fill(from, to, Place::Done);
+        match self {
+            Self::Ranges(Ranges { done, handed }) => {
+                for &(from, to, block, term) in handed {
+                    fill(from, to, Place::Handed { block, term });
+                }
+                for &(from, to) in done {
+                    fill(from, to, Place::Done);
+                }
+            }
+            Self::Letters(Letters { to, tasks }) => {
+                for (place, letter) in places.iter_mut().zip(tasks.bytes()) {
+                    *place = match letter {
+                        WAITING => Place::Waiting,
+                        DONE => Place::Done,
+                        letter => {
+                            let at = LETTERS.iter().position(|l| *l == letter)?;
+                            let &(block, term) = to.get(at)?;
+                            Place::Handed { block, term }
+                        }
+                    };
+                }
+            }
         }
-        places
+        Some(places)
     }
 }
 
-/// A record as a value of the state service.
-pub fn to_value<T: Serialize>(record: &T) -> Value {
+/// A record as a list of its fields in order: the first level's form. Readers
+/// of such a list take neither more nor fewer fields than they know.
+pub fn to_list<T: Serialize>(record: &T) -> Value {
     rmpv::ext::to_value(record).unwrap_or(Value::Nil)
 }
 
-/// A record from a value; none if another version wrote what we can't read.
+/// A record as a map by the names of its fields: readers ignore those that
+/// they don't know, so later levels can add some.
+pub fn to_map<T: Serialize>(record: &T) -> Value {
+    rmp_serde::from_slice(&oliveshift_wire::encode(record)).unwrap_or(Value::Nil)
+}
+
+/// A record from a value in either form; none if another version wrote what we
+/// can't read.
 pub fn from_value<T: DeserializeOwned>(value: Value) -> Option<T> {
-    rmpv::ext::from_value(value).ok()
+    if !value.is_map() {
+        return rmpv::ext::from_value(value).ok();
+    }
+    // `rmpv` by itself takes choices as numbers only, not by their names.
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &value).ok()?;
+    rmp_serde::from_slice(&bytes).ok()
 }
 
 #[cfg(test)]
 mod tests {
+    use oliveshift_wire::job::{Priority, Shape};
+
     use super::*;
 
+    fn id(text: &str) -> JobId {
+        text.parse().expect("an id")
+    }
+
     #[test]
     fn chunks_survive_packing() {
         let mut places = vec![Place::Waiting; 12];
@@ -257,40 +747,301 @@
                 term: 7,
             };
         }
-        let packed = ChunkRecord::pack(256, &places);
-        assert_eq!(packed.done, [(259, 261)]);
-        assert_eq!(packed.handed.len(), 2);
-        let back: ChunkRecord = from_value(to_value(&packed)).unwrap();
-        assert_eq!(back.unpack(256, 12), places);
+        for level in [Level::FIRST, Level::PIPELINES] {
+            let packed = ChunkRecord::pack(level, 256, &places).expect("it fits");
+            let back = ChunkRecord::from_value(packed.to_value()).expect("its own form");
+            assert_eq!(back.unpack(256, 12), Some(places.clone()), "{level:?}");
+        }
+        let bad = ChunkRecord::Letters(Letters {
+            to: vec![(1, 2)],
+            tasks: "+1".into(),
+        });
+        assert_eq!(bad.unpack(0, 2), None);
     }
 
     #[test]
     fn the_worst_chunk_fits_the_store() {
         for kb in [2.0, 16.0, 32.0] {
-            let size = chunk_size(kb);
-            let record = ChunkRecord {
-                done: vec![],
-                handed: vec![(100_000, 100_000, u32::MAX, 1 << 53); size as usize],
+            let most = (kb * 1024.0) as usize;
+            let worst = |term: u64| Place::Handed {
+                block: u32::MAX,
+                term: (1 << 53) - term,
+            };
+            for level in [Level::FIRST, Level::PIPELINES] {
+                let count = chunk_size(level, kb) as usize;
+                let pairs = pairs_at_most(level, most, count).min(count);
+                let places: Vec<_> = (0..count).map(|i| worst((i % pairs) as u64)).collect();
+                let first = 100_000 - count as u32;
+                let record = ChunkRecord::pack(level, first, &places).expect("it fits");
+                let size = json_len(&record.to_value());
+                assert!(size <= most, "{level:?} {kb}: {size}");
+            }
+        }
+    }
+
+    #[test]
+    fn ids_survive_packing() {
+        let long = "j-00000000000000000000000000000000000007";
+        let mut ids: Vec<_> = ["j-7", "j-07", "j-000007", "j-999999999999999999", long]
+            .map(id)
+            .to_vec();
+        ids.extend((0..3000u32).map(|i| id(&format!("j-{:06}", i * 331 % 999_983))));
+        ids.sort();
+        ids.dedup();
+        let text = pack_ids(&ids);
+        assert_eq!(unpack_ids(&text), Some(ids));
+        assert!(text.len() < 3000 * 4, "{}", text.len());
+        for bad in ["", "6", "6:", "6:!", "x:1", "1:z"] {
+            assert_eq!(unpack_ids(bad), None, "{bad}");
+        }
+    }
+
+    fn hex(text: &str) -> Vec<u8> {
+        let byte = |at| u8::from_str_radix(&text[at..at + 2], 16).expect("hex digits");
+        (0..text.len()).step_by(2).map(byte).collect()
+    }
+
+    fn spec() -> JobSpec {
+        JobSpec {
+            id: id("j-000412"),
+            class: "scan".into(),
+            team: "red".into(),
+            shape: Shape::Array,
+            priority: Priority::High,
+            tasks: 3,
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 4.5,
+            image: "img-07".into(),
+            image_gb: 1.5,
+            types: Some(vec!["small".into(), "large".into()]),
+            zone: None,
+            one_zone: false,
+            spread: true,
+            spot: true,
+            estimate_s: 30.0,
+            checkpoint_s: 10.0,
+            save_s: 2.0,
+            deadline_s: Some(75.0),
+            awaits: Vec::new(),
+        }
+    }
+
+    fn job(phase: Phase, spec: Option<JobSpec>) -> JobRecord {
+        JobRecord {
+            phase,
+            tasks: 3,
+            at_ms: 1_800_000_000_123,
+            chunk: 256,
+            spec,
+            more: 0,
+            done_ms: None,
+            service: false,
+        }
+    }
+
+    fn machines() -> Vec<ListedMachine> {
+        let machine = |name: &str, kind: &str, spot, addr: &str| ListedMachine {
+            name: name.into(),
+            kind: kind.into(),
+            spot,
+            addr: addr.into(),
+        };
+        vec![
+            machine("vm-000001", "small", false, "10.1.0.1:9000"),
+            machine("vm-000002", "large", true, "10.1.0.2:9000"),
+        ]
+    }
+
+    /// Values as the commit named `production` in `deploy/service.toml` wrote
+    /// them: read, and written again to the byte at its level.
+    #[test]
+    fn the_first_levels_records_keep_their_form() {
+        fn check<T: PartialEq + std::fmt::Debug>(
+            gold: &str,
+            record: T,
+            write: impl Fn(&T) -> Value,
+            read: impl Fn(Value) -> Option<T>,
+        ) {
+            let bytes = hex(gold);
+            let value: Value = rmp_serde::from_slice(&bytes).expect("MessagePack");
+            assert_eq!(read(value.clone()).as_ref(), Some(&record));
+            assert_eq!(write(&record), value);
+        }
+        let member = MemberRecord {
+            node: "n-1".into(),
+            incarnation: 7,
+            zone: "east".into(),
+        };
+        check("93a36e2d3107a465617374", member, to_list, from_value);
+        let block = BlockRecord {
+            zone: "east".into(),
+            holder: "n-1".into(),
+            incarnation: 7,
+        };
+        check("93a465617374a36e2d3107", block, to_list, from_value);
+        let list = |machines| MachineList::new(Level::FIRST, "east".into(), machines);
+        let lists = [
+            (
+                "92a4656173749294a9766d2d303030303031a5736d616c6cc2ad31302e312e302e313a3930303094\
+                 a9766d2d303030303032a56c61726765c3ad31302e312e302e323a39303030",
+                machines(),
+            ),
+            ("92a46561737490", Vec::new()),
+        ];
+        for (gold, machines) in lists {
+            let to = MachineList::to_value;
+            check(gold, list(machines), to, MachineList::from_value);
+        }
+        let service = JobSpec {
+            types: None,
+            zone: Some("west".into()),
+            deadline_s: None,
+            shape: Shape::Service,
+            priority: Priority::Production,
+            ..spec()
+        };
+        let jobs = [
+            (
+                "9592009003cf000001a3185c507bcd0100dc0014a86a2d303030343132a47363616ea37265649200\
+                 9092019003cb4000000000000000cb0000000000000000cb4012000000000000a6696d672d3037cb\
+                 3ff800000000000092a5736d616c6ca56c61726765c0c2c3c3cb403e000000000000cb4024000000\
+                 000000cb4000000000000000cb4052c00000000000",
+                job(Phase::Open, Some(spec())),
+            ),
+            (
+                "9592029003cf000001a3185c507bcd0100dc0014a86a2d303030343132a47363616ea37265649200\
+                 9092019003cb4000000000000000cb0000000000000000cb4012000000000000a6696d672d3037cb\
+                 3ff800000000000092a5736d616c6ca56c61726765c0c2c3c3cb403e000000000000cb4024000000\
+                 000000cb4000000000000000cb4052c00000000000",
+                job(Phase::Cancelled, Some(spec())),
+            ),
+            ("9492019003cf000001a3185c507bcd0100", job(Phase::Done, None)),
+            (
+                "9592009003cf000001a3185c507bcd0100dc0014a86a2d303030343132a47363616ea37265649201\
+                 9092009003cb4000000000000000cb0000000000000000cb4012000000000000a6696d672d3037cb\
+                 3ff8000000000000c0a477657374c2c3c3cb403e000000000000cb4024000000000000cb40000000\
+                 00000000c0",
+                job(Phase::Open, Some(service)),
+            ),
+        ];
+        for (gold, job) in jobs {
+            let to = |job: &JobRecord| job.to_value(Level::FIRST);
+            check(gold, job, to, from_value);
+        }
+        let places = [
+            Place::Done,
+            Place::Handed { block: 4, term: 41 },
+            Place::Handed { block: 5, term: 42 },
+        ];
+        let chunk = ChunkRecord::pack(Level::FIRST, 0, &places).expect("it fits");
+        let gold = "9291920001929401020429940203052a";
+        check(gold, chunk, ChunkRecord::to_value, ChunkRecord::from_value);
+    }
+
+    #[test]
+    fn the_second_levels_records_come_back() {
+        let second = Level::PIPELINES;
+        let list = MachineList::new(second, "east".into(), machines());
+        let back = MachineList::from_value(list.to_value()).map(MachineList::into_parts);
+        let (zone, mut back) = back.expect("its own form");
+        back.sort_by(|a, b| a.name.cmp(&b.name));
+        assert_eq!((zone.as_str(), back), ("east", machines()));
+        let many = JobRecord {
+            done_ms: Some(1_800_000_000_456),
+            service: true,
+            ..job(
+                Phase::Open,
+                Some(JobSpec {
+                    awaits: vec![id("j-000007"), id("j-7")],
+                    ..spec()
+                }),
+            )
+        };
+        for record in [many, job(Phase::Done, None)] {
+            let Value::Map(mut fields) = record.to_value(second) else {
+                panic!("a map");
             };
-            let json = 50 * record.handed.len() + 40;
-            assert!((json as f64) < kb * 1024.0, "{kb}");
+            // What later levels add does not disturb.
+            fields.push(("later".into(), Value::from(3)));
+            assert_eq!(from_value(Value::Map(fields)), Some(record));
         }
     }
 
+    /// A description that is larger than a value may be goes into several.
+    #[test]
+    fn long_descriptions_are_split_and_joined() {
+        let limits = StateLimits {
+            rps: 100.0,
+            write_rps: 18.0,
+            value_kb: 2.0,
+            txn_ops: 6,
+            next: None,
+        };
+        let awaits: Vec<_> = (0..2000)
+            .map(|i| id(&format!("j-{:06}", i * 499)))
+            .collect();
+        let long = JobSpec {
+            types: Some((0..30).map(|i| format!("a type with a name {i}")).collect()),
+            awaits: awaits.clone(),
+            ..spec()
+        };
+        let record = job(Phase::Open, Some(long.clone()));
+        let split = record.split(&long.id, Level::PIPELINES, &limits);
+        let records = split.expect("it fits");
+        assert!(records.len() > 2);
+        for (key, value) in &records {
+            assert!(json_len(value) <= limits.value_bytes(), "{key:?}");
+        }
+        let mut values = records.into_iter().map(|(_, value)| value);
+        let first: JobRecord = values.next().and_then(from_value).expect("a job");
+        let pieces: Vec<MoreRecord> = values.map(|v| from_value(v).expect("a piece")).collect();
+        assert_eq!(first.more as usize, pieces.len());
+        let whole = JobRecord::join(first.spec.expect("a description"), &pieces);
+        assert_eq!(whole, Some(long.clone()));
+
+        let short = job(Phase::Cancelled, Some(long.clone())).trimmed(Level::PIPELINES, 2048);
+        assert!(json_len(&short.to_value(Level::PIPELINES)) <= 2048);
+        let too_many = JobSpec {
+            awaits: (0..20_000)
+                .map(|i| id(&format!("j-{:09}", i * 49_999)))
+                .collect(),
+            ..spec()
+        };
+        let split = |spec: JobSpec| {
+            let id = spec.id.clone();
+            job(Phase::Open, Some(spec)).split(&id, Level::PIPELINES, &limits)
+        };
+        assert_eq!(split(too_many), Err(TooLarge::Lists));
+        let unkeepable = JobSpec {
+            class: "\u{1}".repeat(200),
+            image: "\u{1}".repeat(200),
+            ..spec()
+        };
+        assert_eq!(split(unkeepable), Err(TooLarge::Names));
+    }
+
     #[test]
     fn keys_come_back() {
-        let id: JobId = "j-000007".parse().unwrap();
+        let id = id("j-000007");
         for key in [
             Key::Leader,
             Key::Member("grove-0".into()),
             Key::Block(3),
-            Key::Machines(4),
+            Key::Machines(4, 0),
+            Key::Machines(4, 2),
             Key::Job(id.clone()),
+            Key::More(id.clone(), 1),
             Key::Chunk(id, 9),
             Key::Settings,
+            Key::Format,
+            Key::Level("grove-1".into()),
+            Key::Lowered,
         ] {
             assert_eq!(Key::parse(&key.path()), Some(key));
         }
-        assert_eq!(Key::parse("other/leader"), None);
+        for other in ["other/leader", "oliveshift/block/3/1", "oliveshift/later"] {
+            assert_eq!(Key::parse(other), None, "{other}");
+        }
     }
 }
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -137,6 +137,11 @@
         let Some(spec) = job.spec.clone() else {
             return self.drop_slots(id, first, count);
         };
+        if job.is_complete()
+            && let Some(leader) = &mut self.leader
+        {
+            leader.complete.insert(id.clone());
+        }
         let cancelled = job.phase == Phase::Cancelled;
         let places: Vec<Place> = (0..count as u32).map(|i| job.place(first + i)).collect();
         for (i, place) in places.into_iter().enumerate() {
@@ -152,6 +157,12 @@
                 (None, None) => {}
                 (None, Some(_)) => self.drop_slot(&task),
                 (Some(new), Some(old)) if new == old => {}
+                // The same hand-out, its term over and no longer told.
+                (Some((block, 0)), Some((old, _))) if block == old => {
+                    if let Some(slot) = self.slots.get_mut(&task) {
+                        slot.handed = 0;
+                    }
+                }
                 (Some((block, term)), known) => {
                     if known.is_some() {
                         self.drop_slot(&task);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -6,7 +6,9 @@
 use oliveshift_wire::{
     JobId, decode, encode,
     settings::Settings,
-    state::{Change, Cond, Events, LeaseGrant, NewLease, Page, Txn, TxnAnswer},
+    state::{
+        Change, Cond, Event, Events, LeaseGrant, MAX_TXN, NewLease, Page, Txn, TxnAnswer, json_len,
+    },
 };
 
 use crate::{
@@ -15,7 +17,8 @@
     call::{Method, Reply, Target},
     controller::{Controller, Pending},
     leader::Duty,
-    records::{Key, MemberRecord, ROOT, to_value},
+    records::{Key, MemberRecord, ROOT, to_list},
+    upgrade,
     view::View,
 };
 
@@ -50,6 +53,7 @@
     Chunk(JobId, u32),
     Lead2(Duty),
     Lists,
+    Upgrade(upgrade::Step),
 }
 
 impl Purpose {
@@ -63,6 +67,7 @@
             Self::Lead2(Duty::Lease(_)) => "lease",
             Self::Lead2(Duty::Tidy(_)) => "tidy",
             Self::Lists => "lists",
+            Self::Upgrade(_) => "upgrade",
         }
     }
 }
@@ -74,8 +79,12 @@
     Done(u64),
     /// A condition did not hold; so it was at this revision.
     Conflict(u64),
-    /// Surely not executed.
+    /// This request was surely not executed. Of an earlier one that got no
+    /// answer it says nothing.
     Refused,
+    /// The same, and it never will be as it is: it is malformed, or larger
+    /// than the service takes now.
+    Impossible,
     /// Its lease is over.
     NoLease,
     /// Executed or not, or later.
@@ -137,6 +146,8 @@
     read_pending: bool,
     read_at: Duration,
     failures: u32,
+    /// The lower limits hold.
+    pub lowered: bool,
 }
 
 impl Store {
@@ -160,6 +171,7 @@
             read_pending: false,
             read_at: Duration::ZERO,
             failures: 0,
+            lowered: false,
         }
     }
 }
@@ -212,7 +224,11 @@
             let each = SHARE / (nodes - 1.0);
             (each * (1.0 - part), each * (1.0 - LEADER_SHARE))
         };
-        let limits = &self.settings.params.state;
+        let limits = if self.store.lowered {
+            &self.lowered
+        } else {
+            &self.settings.params.state
+        };
         let (rps, writes) = (limits.rps * requests, limits.write_rps * writes);
         self.store.rps = rps;
         self.store.requests.set_rate(self.now, rps, 1.0);
@@ -222,6 +238,7 @@
     pub(crate) fn store_tick(&mut self) {
         self.keep_hold();
         self.keep_view();
+        self.upgrade_tick();
         self.keep_member();
         self.seek_leadership();
     }
@@ -287,7 +304,7 @@
             .members
             .get(node)
             .is_some_and(|m| m.record.incarnation == self.incarnation);
-        if listed || self.store.member_pending || !self.store.ready {
+        if listed || self.store.member_pending || !self.store.ready || self.is_founding() {
             return;
         }
         let record = self.member_record();
@@ -295,7 +312,7 @@
             conds: Vec::new(),
             changes: vec![Change::Put {
                 key: Key::Member(node.clone()).path(),
-                value: to_value(&record),
+                value: to_list(&record),
                 lease: Some(hold),
             }],
         };
@@ -326,7 +343,7 @@
     /// incarnation of this very controller, which is surely gone.
     fn seek_leadership(&mut self) {
         let Some(hold) = self.store.hold else { return };
-        if self.store.lead_pending || !self.in_contact() {
+        if self.store.lead_pending || !self.in_contact() || self.is_founding() {
             return;
         }
         let version = match &self.view.leader {
@@ -347,7 +364,7 @@
             }],
             changes: vec![Change::Put {
                 key,
-                value: to_value(&self.member_record()),
+                value: to_list(&self.member_record()),
                 lease: Some(hold),
             }],
         };
@@ -372,14 +389,23 @@
         }
     }
 
+    fn empty_view(&self) -> View {
+        #[allow(unused_mut)]
+        let mut view = View::default();
+        #[cfg(feature = "sabotage")]
+        {
+            view.sabotage = self.sabotage;
+        }
+        view
+    }
+
     fn read_page(&mut self) {
         if self.store.page_pending || self.now < self.store.watch_at {
             return;
         }
-        let (_, after) = self
-            .store
-            .loading
-            .get_or_insert_with(|| (View::default(), None));
+        let empty = self.empty_view();
+        let loading = &mut self.store.loading;
+        let (_, after) = loading.get_or_insert_with(|| (empty, None));
         let from = after
             .as_ref()
             .map(|a| format!("&after={a}"))
@@ -409,8 +435,12 @@
             view.revision = page.revision;
         }
         *after = page.items.last().map(|i| i.key.clone());
-        for item in page.items {
-            view.load(item);
+        for event in page.items.into_iter().map(Event::from) {
+            #[cfg(feature = "sabotage")]
+            if !upgrade::can_read(self.program, &event) {
+                continue;
+            }
+            view.apply(event);
         }
         if page.more {
             self.read_page();
@@ -485,7 +515,7 @@
             Reply::Answer { status: 200, body } => body,
             Reply::Answer { status: 410, .. } => {
                 log::info!("the state service no longer has our changes: reading all again");
-                self.store.loading = Some((View::default(), None));
+                self.store.loading = Some((self.empty_view(), None));
                 return true;
             }
             Reply::Answer { status: 429, .. } => {
@@ -500,11 +530,7 @@
         if after > self.view.revision {
             return false;
         }
-        for event in events.events {
-            if let Some(key) = self.view.apply(event) {
-                self.changed(&key);
-            }
-        }
+        self.apply(events.events);
         self.view.revision = self.view.revision.max(events.revision);
         if self.store.failures > 2 {
             log::info!("contact with the state service regained");
@@ -516,6 +542,27 @@
         true
     }
 
+    /// Applies changes, revision by revision: what a transaction has written
+    /// holds as a whole. Seen one by one, a machine that moves from one list
+    /// to another would be nowhere in between, and its tasks with it.
+    fn apply(&mut self, mut events: Vec<Event>) {
+        #[cfg(feature = "sabotage")]
+        events.retain(|event| upgrade::can_read(self.program, event));
+        // A job comes before what continues it, as its key does.
+        events.sort_by(|a, b| (a.version(), a.key()).cmp(&(b.version(), b.key())));
+        let mut events = events.into_iter().peekable();
+        while let Some(event) = events.next() {
+            let version = event.version();
+            let mut keys: Vec<Key> = self.view.apply(event).into_iter().collect();
+            while let Some(event) = events.next_if(|e| e.version() == version) {
+                keys.extend(self.view.apply(event));
+            }
+            for key in keys {
+                self.changed(&key);
+            }
+        }
+    }
+
     /// Reads on for those who wait for an answer no older than their request.
     pub(crate) fn read_for_asks(&mut self) {
         if self.store.read_pending
@@ -555,6 +602,21 @@
         self.store.writes.is_rich(self.now)
     }
 
+    /// Whether a transaction keeps to the sizes that the service takes, or
+    /// will take.
+    pub(crate) fn fits(&self, txn: &Txn) -> bool {
+        let limits = self.limits();
+        let most = limits.value_bytes();
+        let small = |change: &Change| match change {
+            Change::Put { value, .. } => json_len(value) <= most,
+            Change::Delete { .. } => true,
+        };
+        txn.changes.len() <= limits.txn_ops
+            && txn.conds.len() <= limits.txn_conds()
+            && txn.changes.iter().all(small)
+            && json_len(txn) <= MAX_TXN
+    }
+
     /// Sends a transaction if the budget allows; false: try again later.
     pub(crate) fn txn(&mut self, txn: Txn, purpose: Purpose, urgency: Urgency) -> bool {
         let puts = txn.changes.len() as f64;
@@ -589,11 +651,15 @@
                     429 => {
                         self.store.requests.drain(self.now);
                         self.store.writes.drain(self.now);
+                        self.rate_refused();
                         Outcome::Refused
                     }
                     400 => {
-                        log::error!("the state service refuses a transaction as malformed");
-                        Outcome::Refused
+                        log::error!(
+                            "the state service does not take a transaction: {}",
+                            String::from_utf8_lossy(body)
+                        );
+                        Outcome::Impossible
                     }
                     503 => Outcome::Refused,
                     _ => Outcome::Unknown,
--- /dev/null
+++ b/crates/core/src/upgrade.rs
@@ -0,0 +1,404 @@
+//! Replacing one version of the program by the next while both serve.
+//!
+//! Old programs can't read new forms, and one that is dead comes back old. So
+//! every controller records what it is able to read and write under a key of
+//! its own, and a single record says from when on all of them write the new
+//! forms. That record never changes back.
+
+use std::time::Duration;
+
+#[cfg(feature = "sabotage")]
+use oliveshift_wire::state::Event;
+use oliveshift_wire::{
+    admin::{ControllerLevel, UpgradeStatus, WriteOff},
+    peer::LevelWord,
+    settings::StateLimits,
+    state::{Change, Cond, Txn},
+};
+use serde::Serialize;
+
+#[cfg(feature = "sabotage")]
+use crate::records::{ChunkRecord, MachineList};
+use crate::{
+    call::{ConnId, Method, Output, Reply, Target},
+    controller::{Controller, Pending},
+    records::{FormatRecord, Key, Level, LevelRecord, to_map},
+    store::{Outcome, Purpose, Urgency},
+};
+
+/// How long to wait after a write that did not succeed, and between two
+/// questions to a peer.
+const AGAIN: Duration = Duration::from_millis(1000);
+/// When to give a question to a peer up.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What a write of this part is for.
+#[derive(Debug)]
+pub(crate) enum Step {
+    /// A controller's level; with the operator who waits for it.
+    Level(String, Option<ConnId>),
+    /// The switch to our level.
+    Format,
+    /// The lower limits hold.
+    Lowered,
+}
+
+/// Where the upgrade stands.
+#[derive(Debug, Default)]
+pub(crate) struct Upgrade {
+    /// When to write our level, the switch and that limits are lower, unless
+    /// the view shows it by then.
+    level_at: Duration,
+    format_at: Duration,
+    lowered_at: Duration,
+    /// When to ask those whose level is not known.
+    ask_at: Duration,
+    /// The first write to an empty store is under way.
+    founding: bool,
+    ended: bool,
+}
+
+impl Controller {
+    /// The form in which we write.
+    pub(crate) fn level(&self) -> Level {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::SwitchEarly) {
+            return self.program;
+        }
+        self.view.level().min(self.program)
+    }
+
+    /// The sizes that we keep to: from the switch on those to come, as they
+    /// may hold at any moment.
+    pub(crate) fn limits(&self) -> &StateLimits {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::NoLowering) {
+            return &self.settings.params.state;
+        }
+        if self.level() >= Level::PIPELINES {
+            &self.lowered
+        } else {
+            &self.settings.params.state
+        }
+    }
+
+    pub(crate) fn upgrade_tick(&mut self) {
+        if !self.store.ready || self.program < Level::PIPELINES {
+            return;
+        }
+        let format = self.view.level();
+        if format > self.program {
+            if !self.upgrade.ended {
+                self.upgrade.ended = true;
+                self.out.push(Output::End(format!(
+                    "the records are of level {}, this program reads up to level {}: \
+                     a newer one has to run here",
+                    format.0, self.program.0
+                )));
+            }
+            return;
+        }
+        if format == self.program {
+            return self.note_lowered();
+        }
+        if self.view.is_unused() {
+            return self.found();
+        }
+        self.write_own_level();
+        if self.leader.is_some() {
+            self.switch();
+            self.ask_levels();
+        }
+    }
+
+    /// Whether the first write to an empty store is awaited: nothing else is
+    /// written before.
+    pub(crate) fn is_founding(&self) -> bool {
+        self.upgrade.founding && self.view.is_unused()
+    }
+
+    /// An empty store begins at our level. An old program that is up has its
+    /// `member` record there.
+    fn found(&mut self) {
+        if self.now < self.upgrade.format_at {
+            return;
+        }
+        let members = self.all_nodes().into_iter().map(Key::Member);
+        let none = members.chain([Key::Leader, Key::Format]).map(|key| Cond {
+            key: key.path(),
+            version: 0,
+        });
+        let conds = none.take(self.limits().txn_conds()).collect();
+        self.upgrade.founding = self.write_format(conds);
+    }
+
+    fn write_format(&mut self, conds: Vec<Cond>) -> bool {
+        self.upgrade.format_at = self.now + AGAIN;
+        let record = FormatRecord {
+            level: self.program,
+        };
+        let txn = put(conds, Key::Format, &record);
+        self.txn(txn, Purpose::Upgrade(Step::Format), Urgency::Session)
+    }
+
+    fn all_nodes(&self) -> Vec<String> {
+        let peers = self.settings.peers.iter().map(|p| p.node.clone());
+        peers.chain([self.settings.node.clone()]).collect()
+    }
+
+    /// Whether a controller is proven to be of our level: by its record, and
+    /// if it is up, by one of the process that is.
+    fn is_proven(&self, node: &str) -> bool {
+        let Some(proof) = self.view.levels.get(node).map(|l| l.record) else {
+            return false;
+        };
+        let up = self.view.members.get(node);
+        proof.level >= self.program && up.is_none_or(|m| m.record.incarnation == proof.incarnation)
+    }
+
+    fn write_own_level(&mut self) {
+        let node = self.settings.node.clone();
+        let ours = self.view.levels.get(&node).map(|l| l.record.incarnation);
+        if ours == Some(self.incarnation) || self.now < self.upgrade.level_at {
+            return;
+        }
+        self.upgrade.level_at = self.now + AGAIN;
+        self.write_level(node, self.incarnation, None);
+    }
+
+    fn write_level(&mut self, node: String, incarnation: u64, asker: Option<ConnId>) -> bool {
+        let key = Key::Level(node.clone());
+        let conds = vec![Cond {
+            key: key.path(),
+            version: self.view.level_version(&node),
+        }];
+        let record = LevelRecord {
+            level: self.program,
+            incarnation,
+        };
+        let step = Step::Level(node, asker);
+        let txn = put(conds, key, &record);
+        self.txn(txn, Purpose::Upgrade(step), Urgency::Session)
+    }
+
+    /// Writes the switch once all controllers are proven to be of our level.
+    fn switch(&mut self) {
+        let nodes = self.all_nodes();
+        if self.now < self.upgrade.format_at || !nodes.iter().all(|n| self.is_proven(n)) {
+            return;
+        }
+        let Some(lead) = self.leader_cond() else {
+            return;
+        };
+        let format = Cond {
+            key: Key::Format.path(),
+            version: self.view.format.as_ref().map_or(0, |f| f.version),
+        };
+        let proofs = nodes.into_iter().map(|node| Cond {
+            version: self.view.level_version(&node),
+            key: Key::Level(node).path(),
+        });
+        let conds = [lead, format].into_iter().chain(proofs);
+        let conds = conds.take(self.limits().txn_conds()).collect();
+        log::info!("all controllers are of level {}", self.program.0);
+        self.write_format(conds);
+    }
+
+    /// Asks the controllers that have not shown their level: one that can't
+    /// reach the state service may still be reached by us.
+    fn ask_levels(&mut self) {
+        if self.now < self.upgrade.ask_at {
+            return;
+        }
+        self.upgrade.ask_at = self.now + AGAIN;
+        let mut nodes = self.all_nodes();
+        nodes.retain(|n| *n != self.settings.node && !self.is_proven(n));
+        for node in nodes {
+            let (path, pending) = ("/level".to_owned(), Pending::Level(node.clone()));
+            let to = Target::Peer(node);
+            self.call(to, Method::Get, path, Vec::new(), TIMEOUT, pending);
+        }
+    }
+
+    /// A peer asks for our level.
+    pub(crate) fn tell_level(&mut self, conn: ConnId) {
+        let word = LevelWord {
+            node: self.settings.node.clone(),
+            incarnation: self.incarnation,
+            level: self.program.0,
+        };
+        // Writing into memory can't fail.
+        let body = borsh::to_vec(&word).unwrap_or_default();
+        self.answer(conn, 200, body);
+    }
+
+    /// What a peer answered when asked for its level.
+    pub(crate) fn level_told(&mut self, node: &str, reply: &Reply) {
+        let Reply::Answer { status: 200, body } = reply else {
+            return;
+        };
+        let Ok(word) = borsh::from_slice::<LevelWord>(body) else {
+            return;
+        };
+        let enough = word.node == *node && word.level >= self.program.0;
+        if enough && self.leader.is_some() && !self.is_proven(node) {
+            log::info!("{node} says that it is of level {}", word.level);
+            self.write_level(word.node, word.incarnation, None);
+        }
+    }
+
+    pub(crate) fn upgrade_written(&mut self, step: Step, outcome: Outcome) {
+        match step {
+            Step::Format => {
+                self.upgrade.founding &= matches!(outcome, Outcome::Done(_));
+                if let Outcome::Done(_) = outcome {
+                    log::info!(
+                        "all write in the form of level {} from now on",
+                        self.program.0
+                    );
+                }
+            }
+            Step::Lowered | Step::Level(_, None) => {}
+            Step::Level(node, Some(conn)) => match outcome {
+                Outcome::Done(_) => {
+                    log::info!("{node} never comes back, by an operator's word");
+                    self.answer(conn, 200, json(&WriteOff { without: node }));
+                }
+                Outcome::Conflict(_) => {
+                    self.refuse_json(conn, 409, "it has just shown its level itself");
+                }
+                _ => self.refuse_json(conn, 503, "the state service did not answer"),
+            },
+        }
+    }
+
+    /// The state service has refused a write as one too many: if lower limits
+    /// are to come, they have come.
+    pub(crate) fn rate_refused(&mut self) {
+        let lower = self.lowered.write_rps < self.settings.params.state.write_rps;
+        if lower && !self.store.lowered && self.level() >= Level::PIPELINES {
+            log::info!("the state service takes fewer writes now");
+            self.store.lowered = true;
+            self.share_budget();
+        }
+    }
+
+    /// Lets everybody know of lower limits at once, later starts included.
+    fn note_lowered(&mut self) {
+        if self.view.lowered > 0 && !self.store.lowered {
+            self.store.lowered = true;
+            self.share_budget();
+        }
+        let told = !self.store.lowered || self.view.lowered > 0;
+        if told || self.now < self.upgrade.lowered_at {
+            return;
+        }
+        self.upgrade.lowered_at = self.now + AGAIN;
+        let conds = vec![Cond {
+            key: Key::Lowered.path(),
+            version: 0,
+        }];
+        let record = FormatRecord {
+            level: self.program,
+        };
+        let txn = put(conds, Key::Lowered, &record);
+        self.txn(txn, Purpose::Upgrade(Step::Lowered), Urgency::Safety);
+    }
+
+    /// An operator asks how far the upgrade is.
+    pub(crate) fn upgrade_status(&mut self, conn: ConnId) {
+        let controllers = self.all_nodes().into_iter().map(|node| {
+            let proof = self.view.levels.get(&node).map(|l| l.record);
+            let proof = proof.filter(|_| self.is_proven(&node));
+            let switched = self.view.level() >= self.program;
+            ControllerLevel {
+                up: self.view.members.contains_key(&node),
+                level: proof
+                    .map(|p| p.level.0)
+                    .or(switched.then_some(self.program.0)),
+                written_off: proof.is_some_and(|p| p.incarnation == 0),
+                node,
+            }
+        });
+        let status = UpgradeStatus {
+            node: self.settings.node.clone(),
+            leader: self.view.leader.as_ref().map(|l| l.record.node.clone()),
+            program: self.program.0,
+            format: self.view.level().0,
+            controllers: controllers.collect(),
+        };
+        if self.in_contact() {
+            self.answer(conn, 200, json(&status));
+        } else {
+            self.refuse_json(conn, 503, "the state service can not be reached");
+        }
+    }
+
+    /// An operator says that a controller never comes back.
+    pub(crate) fn write_off(&mut self, conn: ConnId, body: &[u8]) {
+        let wish: WriteOff = match serde_json::from_slice(body) {
+            Ok(wish) => wish,
+            Err(e) => return self.refuse_json(conn, 400, &e.to_string()),
+        };
+        let node = wish.without;
+        if !self.in_contact() {
+            self.refuse_json(conn, 503, "the state service can not be reached");
+        } else if !self.all_nodes().contains(&node) {
+            self.refuse_json(conn, 404, "no such controller in the settings");
+        } else if self.view.members.contains_key(&node) {
+            self.refuse_json(conn, 409, "that controller is up");
+        } else if self.is_proven(&node) || self.view.level() >= self.program {
+            self.answer(conn, 200, json(&WriteOff { without: node }));
+        } else if !self.write_level(node, 0, Some(conn)) {
+            self.refuse_json(conn, 503, "too many requests at once");
+        }
+    }
+
+    fn refuse_json(&mut self, conn: ConnId, status: u16, error: &str) {
+        let error = error.to_owned();
+        let body = json(&oliveshift_wire::job::Refusal { error });
+        self.answer(conn, status, body);
+    }
+}
+
+/// Whether a program of a level can read a change: one of the first level
+/// knows neither the newer keys nor the newer forms.
+#[cfg(feature = "sabotage")]
+pub(crate) fn can_read(program: Level, event: &Event) -> bool {
+    if program >= Level::PIPELINES {
+        return true;
+    }
+    let value = match event {
+        Event::Put { value, .. } => Some(value.clone()),
+        Event::Delete { .. } => None,
+    };
+    match Key::parse(event.key()) {
+        Some(Key::More(..) | Key::Format | Key::Level(_) | Key::Lowered) => false,
+        Some(Key::Machines(_, piece)) => {
+            let list = value.and_then(MachineList::from_value);
+            piece == 0 && !matches!(list, Some(MachineList::Short(_)))
+        }
+        Some(Key::Chunk(..)) => {
+            let chunk = value.and_then(ChunkRecord::from_value);
+            !matches!(chunk, Some(ChunkRecord::Letters(_)))
+        }
+        _ => true,
+    }
+}
+
+fn put<T: Serialize>(conds: Vec<Cond>, key: Key, record: &T) -> Txn {
+    let put = Change::Put {
+        key: key.path(),
+        value: to_map(record),
+        lease: None,
+    };
+    Txn {
+        conds,
+        changes: vec![put],
+    }
+}
+
+/// The types told here have no state that could make this fail.
+fn json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -3,35 +3,51 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
+    time::Duration,
 };
 
+use oliveshift_policy::graph::{Claim, Graph, Named, Own, Standing};
 use oliveshift_wire::{
     JobId,
-    job::JobSpec,
-    state::{Event, Item},
+    job::{JobSpec, Priority, Shape},
+    state::Event,
 };
 use rmpv::Value;
 
 use crate::records::{
-    BlockId, BlockRecord, ChunkRecord, JobRecord, Key, MachineList, MachineRecord, MemberRecord,
-    Phase, Place, from_value,
+    BlockId, BlockRecord, ChunkRecord, FormatRecord, JobRecord, Key, Level, LevelRecord,
+    ListedMachine, MachineList, MachineRecord, MemberRecord, MoreRecord, Phase, Place, from_value,
 };
 
-/// A job as recorded.
+/// A job as recorded, with what follows from the jobs that it awaits.
 #[derive(Clone, Debug)]
 pub struct Job {
     /// The version of `job/ID`; 0 while only chunks were seen.
     pub version: u64,
-    /// Its phase.
+    /// Its phase; cancelled also if a job before it is, whether or not its own
+    /// record says so yet.
     pub phase: Phase,
+    /// It is open, and some job that it awaits is not done.
+    pub waits: bool,
     /// How many tasks it has.
     pub tasks: u32,
     /// Tasks in a chunk.
     pub chunk: u32,
     /// When it was accepted.
     pub at_ms: u64,
+    /// When the last job that it awaits was done, or it was accepted.
+    pub since_ms: u64,
+    /// When it was done, if that is known.
+    pub done_ms: Option<u64>,
     /// The description, unless compacted.
     pub spec: Option<Rc<JobSpec>>,
+    /// It is known to be a service.
+    pub service: bool,
+    /// Records that continue the description: how many there are to be, what
+    /// is to be continued, and those that there are.
+    pub more: u32,
+    begun: Option<Box<JobSpec>>,
+    pub pieces: BTreeMap<u32, Piece>,
     /// The chunks that have a record.
     pub chunks: BTreeMap<u32, Chunk>,
     /// Tasks done.
@@ -40,6 +56,15 @@
     pub handed: BTreeMap<BlockId, u32>,
 }
 
+/// A record that continues a description.
+#[derive(Clone, Debug, Default)]
+pub struct Piece {
+    /// Its version.
+    pub version: u64,
+    /// What it says, until the description is whole.
+    record: Option<MoreRecord>,
+}
+
 /// A chunk as recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Chunk {
@@ -92,7 +117,38 @@
 
     /// Whether nothing of it is left to do or to clean up.
     pub fn settled(&self) -> bool {
-        self.phase != Phase::Open && self.spec.is_none() && self.chunks.is_empty()
+        self.phase != Phase::Open
+            && self.spec.is_none()
+            && self.chunks.is_empty()
+            && self.pieces.is_empty()
+    }
+
+    /// Whether all its tasks are recorded as done while it is not.
+    pub fn is_complete(&self) -> bool {
+        self.phase == Phase::Open && self.done >= self.tasks
+    }
+
+    /// What its record says at least, whatever its phase.
+    pub fn record(&self) -> JobRecord {
+        JobRecord {
+            phase: self.phase,
+            tasks: self.tasks,
+            at_ms: self.at_ms,
+            chunk: self.chunk,
+            spec: None,
+            more: 0,
+            done_ms: self.done_ms,
+            service: false,
+        }
+    }
+
+    /// How it stands for those that name it.
+    fn named(&self) -> Named {
+        match self.phase {
+            Phase::Open => Named::Open,
+            Phase::Done => Named::Done(Duration::from_millis(self.done_ms.unwrap_or(0))),
+            Phase::Cancelled => Named::Cancelled,
+        }
     }
 
     fn count(&mut self, part: u32, add: bool) {
@@ -127,6 +183,15 @@
     pub record: T,
 }
 
+/// One of a block's lists of machines.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// Its version.
+    pub version: u64,
+    /// The machines' names.
+    pub names: BTreeSet<String>,
+}
+
 /// All records.
 #[derive(Debug, Default)]
 pub struct View {
@@ -142,24 +207,31 @@
     pub machines: BTreeMap<String, MachineRecord>,
     /// The machines of each block.
     pub in_block: BTreeMap<BlockId, BTreeSet<String>>,
-    /// The version of each block's list of machines.
-    pub lists: BTreeMap<BlockId, u64>,
-    /// Machines that the last change has brought or taken.
+    /// Each block's lists of machines.
+    pub lists: BTreeMap<(BlockId, u32), Listing>,
+    /// Machines that the last changes have brought or taken.
     pub news: Vec<String>,
     /// The jobs.
     pub jobs: HashMap<JobId, Job>,
-    /// Jobs on which something is left to do.
+    /// Jobs on which something is left to do now: those that wait for others
+    /// are not among them.
     pub active: BTreeSet<JobId>,
+    /// What lies between the open jobs.
+    graph: Graph<JobId>,
     /// The operators' settings.
     pub settings: Option<Versioned<Value>>,
+    /// The format in which all write.
+    pub format: Option<Versioned<FormatRecord>>,
+    /// The formats that the controllers are able to write.
+    pub levels: BTreeMap<String, Versioned<LevelRecord>>,
+    /// The version of the record that the lower limits hold; 0: none.
+    pub lowered: u64,
+    /// What is broken on purpose.
+    #[cfg(feature = "sabotage")]
+    pub sabotage: Option<crate::Sabotage>,
 }
 
 impl View {
-    /// Takes a key from a page of a first read.
-    pub fn load(&mut self, item: Item) -> Option<Key> {
-        self.put(&item.key, item.value, item.version)
-    }
-
     /// Takes a change; returns the key if it was news.
     pub fn apply(&mut self, event: Event) -> Option<Key> {
         match event {
@@ -177,13 +249,47 @@
             Key::Leader => self.leader.as_ref().map_or(0, |r| r.version),
             Key::Member(name) => self.members.get(name).map_or(0, |r| r.version),
             Key::Block(id) => self.blocks.get(id).map_or(0, |r| r.version),
-            Key::Machines(id) => self.lists.get(id).copied().unwrap_or(0),
+            Key::Machines(id, piece) => self.list_version(*id, *piece),
             Key::Job(id) => self.jobs.get(id).map_or(0, |j| j.version),
+            Key::More(id, piece) => {
+                let pieces = self.jobs.get(id).map(|j| &j.pieces);
+                pieces.and_then(|p| p.get(piece)).map_or(0, |p| p.version)
+            }
             Key::Chunk(id, part) => self.chunk_version(id, *part),
             Key::Settings => self.settings.as_ref().map_or(0, |r| r.version),
+            Key::Format => self.format.as_ref().map_or(0, |r| r.version),
+            Key::Level(name) => self.level_version(name),
+            Key::Lowered => self.lowered,
         }
     }
 
+    /// Whether nothing has ever been recorded.
+    pub fn is_unused(&self) -> bool {
+        self.leader.is_none()
+            && self.format.is_none()
+            && self.members.is_empty()
+            && self.levels.is_empty()
+            && self.blocks.is_empty()
+            && self.lists.is_empty()
+            && self.jobs.is_empty()
+    }
+
+    /// The version of one of a block's lists; 0: none.
+    pub fn list_version(&self, id: BlockId, piece: u32) -> u64 {
+        self.lists.get(&(id, piece)).map_or(0, |l| l.version)
+    }
+
+    /// The version of what is recorded of a controller's level; 0: nothing.
+    pub fn level_version(&self, node: &str) -> u64 {
+        self.levels.get(node).map_or(0, |r| r.version)
+    }
+
+    /// The format in which all write.
+    pub fn level(&self) -> Level {
+        let format = self.format.as_ref();
+        format.map_or(Level::FIRST, |f| f.record.level)
+    }
+
     /// The version of a chunk's record; 0: none.
     pub fn chunk_version(&self, id: &JobId, part: u32) -> u64 {
         self.jobs
@@ -212,20 +318,28 @@
                 let record = from_value(value)?;
                 self.blocks.insert(*id, Versioned { version, record });
             }
-            Key::Machines(id) => {
-                let list: MachineList = from_value(value)?;
-                self.put_list(*id, list, version);
+            Key::Machines(id, piece) => {
+                let list = MachineList::from_value(value)?;
+                let (zone, machines) = list.into_parts();
+                self.put_list(*id, *piece, &zone, machines, version);
             }
             Key::Job(id) => {
                 let record: JobRecord = from_value(value)?;
                 self.put_job(id, record, version);
             }
+            Key::More(id, piece) => {
+                let record = Some(from_value(value)?);
+                let job = self.jobs.get_mut(id)?;
+                job.pieces.insert(*piece, Piece { version, record });
+                self.make_whole(id);
+                self.refresh(id);
+            }
             Key::Chunk(id, part) => {
-                let record: ChunkRecord = from_value(value)?;
+                let record = ChunkRecord::from_value(value)?;
                 let job = self.jobs.get_mut(id)?;
                 let (first, count) = job.chunk_span(*part);
+                let places = record.unpack(first, count)?;
                 job.count(*part, false);
-                let places = record.unpack(first, count);
                 job.chunks.insert(*part, Chunk { version, places });
                 job.count(*part, true);
                 self.refresh(id);
@@ -236,63 +350,198 @@
                     record: value,
                 });
             }
+            Key::Format => {
+                let record = from_value(value)?;
+                self.format = Some(Versioned { version, record });
+            }
+            Key::Level(name) => {
+                let record = from_value(value)?;
+                self.levels
+                    .insert(name.clone(), Versioned { version, record });
+            }
+            Key::Lowered => self.lowered = version,
         }
         Some(key)
     }
 
-    /// Follows a block's list; the machines that came or went are `news`.
-    fn put_list(&mut self, id: BlockId, list: MachineList, version: u64) {
-        self.lists.insert(id, version);
-        let old = self.in_block.remove(&id).unwrap_or_default();
-        let mut names = BTreeSet::new();
-        for machine in list.machines {
-            names.insert(machine.name.clone());
-            if old.contains(&machine.name) {
-                continue;
-            }
-            self.news.push(machine.name.clone());
+    /// Follows one of a block's lists; the machines that came or went are
+    /// `news`. A machine that another list of the block has by now stays.
+    fn put_list(
+        &mut self,
+        id: BlockId,
+        piece: u32,
+        zone: &str,
+        machines: Vec<ListedMachine>,
+        version: u64,
+    ) {
+        let mut listing = Listing {
+            version,
+            names: BTreeSet::new(),
+        };
+        for machine in machines {
+            listing.names.insert(machine.name.clone());
             let record = MachineRecord {
                 block: id,
+                piece,
                 kind: machine.kind,
-                zone: list.zone.clone(),
+                zone: zone.to_owned(),
                 spot: machine.spot,
                 addr: machine.addr,
             };
+            let in_block = self.in_block.entry(id).or_default();
+            if in_block.insert(machine.name.clone()) {
+                self.news.push(machine.name.clone());
+            }
             self.machines.insert(machine.name, record);
         }
-        for name in old.difference(&names) {
-            self.machines.remove(name);
-            self.news.push(name.clone());
+        self.in_block.entry(id).or_default();
+        let names = listing.names.clone();
+        let old = self.lists.insert((id, piece), listing).unwrap_or_default();
+        for name in old.names.difference(&names) {
+            let here = |m: &MachineRecord| (m.block, m.piece) == (id, piece);
+            if self.machines.get(name).is_some_and(here) {
+                self.machines.remove(name);
+                if let Some(in_block) = self.in_block.get_mut(&id) {
+                    in_block.remove(name);
+                }
+                self.news.push(name.clone());
+            }
         }
-        self.in_block.insert(id, names);
     }
 
     fn put_job(&mut self, id: &JobId, record: JobRecord, version: u64) {
         let job = self.jobs.entry(id.clone()).or_insert_with(|| Job {
             version: 0,
-            phase: record.phase,
+            phase: Phase::Open,
+            waits: false,
             tasks: record.tasks,
             chunk: record.chunk,
             at_ms: record.at_ms,
+            since_ms: record.at_ms,
+            done_ms: None,
             spec: None,
+            service: false,
+            more: 0,
+            begun: None,
+            pieces: BTreeMap::new(),
             chunks: BTreeMap::new(),
             done: 0,
             handed: BTreeMap::new(),
         });
         job.version = version;
-        job.phase = record.phase;
+        // A job that is cancelled with one before it stays so, whatever its
+        // own record says yet.
+        if record.phase != Phase::Open {
+            job.phase = record.phase;
+        }
+        job.done_ms = record.done_ms;
+        job.service |= record.service;
+        job.more = record.more;
+        job.begun = None;
         // The description never changes, so one copy serves all versions.
         match record.spec {
-            Some(spec) if job.spec.is_none() => job.spec = Some(Rc::new(spec)),
+            Some(spec) if job.spec.is_none() => {
+                job.service = spec.shape == Shape::Service;
+                if record.phase == Phase::Open && record.more > 0 {
+                    job.begun = Some(Box::new(spec));
+                } else {
+                    job.spec = Some(Rc::new(spec));
+                }
+            }
             Some(_) => {}
             None => job.spec = None,
         }
+        match job.phase {
+            Phase::Open => self.make_whole(id),
+            Phase::Done => {
+                let at = Duration::from_millis(job.done_ms.unwrap_or(0));
+                job.waits = false;
+                self.graph.done(id, at);
+            }
+            Phase::Cancelled => {
+                job.waits = false;
+                if record.phase == Phase::Cancelled {
+                    self.graph.cancelled(id);
+                }
+            }
+        }
+        self.follow_graph();
         self.refresh(id);
     }
 
+    /// Takes an open job into the graph once all of its description is there.
+    fn make_whole(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.phase == Phase::Open) else {
+            return;
+        };
+        if let Some(begun) = job.begun.take_if(|_| job.pieces.len() as u32 >= job.more) {
+            let pieces = job.pieces.values_mut().map(|p| p.record.take());
+            let pieces: Vec<_> = pieces.flatten().collect();
+            job.spec = JobRecord::join(*begun, &pieces).map(Rc::new);
+        }
+        let Some(spec) = job.spec.clone() else {
+            job.waits = true;
+            return;
+        };
+        let arrived = Duration::from_millis(job.at_ms);
+        let seconds = |s: f64| Duration::try_from_secs_f64(s).unwrap_or_default();
+        let own = Own {
+            priority: spec.priority,
+            length: seconds(spec.estimate_s),
+            due: spec.deadline_s.map(|due| arrived + seconds(due)),
+            arrived,
+        };
+        let awaits = spec.awaits.iter().map(|awaited| {
+            let named = self.jobs.get(awaited).map_or(Named::Open, Job::named);
+            (awaited.clone(), named)
+        });
+        self.graph.open(id.clone(), own, awaits);
+        self.follow_standing(id);
+        self.follow_graph();
+    }
+
+    /// What has changed for jobs with those that they await.
+    fn follow_graph(&mut self) {
+        for id in self.graph.take_changed() {
+            self.follow_standing(&id);
+            self.refresh(&id);
+        }
+    }
+
+    fn follow_standing(&mut self, id: &JobId) {
+        let Some(standing) = self.graph.standing(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        #[cfg(feature = "sabotage")]
+        match (self.sabotage, standing) {
+            (Some(crate::Sabotage::NoAwaiting), Standing::Waits)
+            | (Some(crate::Sabotage::NoChain), Standing::Cancelled) => return,
+            _ => {}
+        }
+        job.waits = standing == Standing::Waits;
+        match standing {
+            Standing::Waits => {}
+            Standing::Ready(since) => job.since_ms = since.as_millis() as u64,
+            Standing::Cancelled => job.phase = Phase::Cancelled,
+        }
+    }
+
+    /// What an open job may claim for itself and for those that need it.
+    pub fn claim(&self, id: &JobId) -> Option<Claim> {
+        self.graph.claim(id)
+    }
+
+    /// The priority that a job has by itself or by those that need it.
+    pub fn priority(&self, id: &JobId, spec: &JobSpec) -> Priority {
+        self.graph.claim(id).map_or(spec.priority, |c| c.priority)
+    }
+
     fn refresh(&mut self, id: &JobId) {
-        let settled = self.jobs.get(id).is_none_or(Job::settled);
-        if settled {
+        let rests = |job: &Job| job.waits || job.settled();
+        if self.jobs.get(id).is_none_or(rests) {
             self.active.remove(id);
         } else {
             self.active.insert(id.clone());
@@ -313,14 +562,20 @@
             Key::Block(id) => {
                 self.blocks.remove(id);
             }
-            Key::Machines(id) => {
-                self.put_list(*id, MachineList::default(), version);
-                self.lists.remove(id);
+            Key::Machines(id, piece) => {
+                self.put_list(*id, *piece, "", Vec::new(), version);
+                self.lists.remove(&(*id, *piece));
             }
             Key::Job(id) => {
                 self.jobs.remove(id);
                 self.refresh(id);
             }
+            Key::More(id, piece) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.pieces.remove(piece);
+                }
+                self.refresh(id);
+            }
             Key::Chunk(id, part) => {
                 if let Some(job) = self.jobs.get_mut(id) {
                     // What a job that is over has done is kept as a number.
@@ -334,6 +589,11 @@
                 self.refresh(id);
             }
             Key::Settings => self.settings = None,
+            Key::Format => self.format = None,
+            Key::Level(name) => {
+                self.levels.remove(name);
+            }
+            Key::Lowered => self.lowered = 0,
         }
         Some(key)
     }
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -35,13 +35,15 @@
     waiting: RefCell<HashMap<ConnId, Sender<Answer>>>,
     next_conn: Cell<ConnId>,
     connections: Cell<usize>,
+    ended: Cell<bool>,
     max_connections: usize,
     peers: HashMap<String, SocketAddr>,
     state: SocketAddr,
     cloud: SocketAddr,
 }
 
-/// Runs a controller until the process is killed.
+/// Runs a controller until the process is killed, or until it finds that it
+/// must not run.
 pub fn run(settings: Settings) -> ExitCode {
     let (public, internal) = (settings.listen, settings.peer_listen);
     let services = &settings.services;
@@ -54,6 +56,7 @@
         waiting: RefCell::default(),
         next_conn: Cell::new(0),
         connections: Cell::new(0),
+        ended: Cell::new(false),
         // The rest is for connections of our own.
         max_connections: settings.params.limits.max_sockets * 3 / 4,
         peers: peers.map(|p| (p.node.clone(), p.addr.into())).collect(),
@@ -69,6 +72,9 @@
         let mut ticks = 0u32;
         loop {
             runtime.input(Input::Tick);
+            if runtime.ended.get() {
+                return ExitCode::from(3);
+            }
             Timer::after(TICK).await;
             ticks = ticks.wrapping_add(1);
             if ticks % PRUNE_EVERY == 0 {
@@ -109,6 +115,10 @@
                     let runtime = self.clone();
                     self.executor.spawn(runtime.make(call)).detach();
                 }
+                Output::End(why) => {
+                    log::error!("{why}");
+                    self.ended.set(true);
+                }
             }
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! [`score`] holds the paper's image score, load gate and base score;
 //! [`ranking`] the top scorers for many tasks that are alike;
-//! [`queue`] the order in which waiting work is served; [`fleet`] how many
-//! machines of which kind the waiting work asks for.
+//! [`queue`] the order in which waiting work is served; [`graph`] what follows
+//! for jobs that await others; [`fleet`] how many machines of which kind the
+//! waiting work asks for.
 
 pub mod fleet;
+pub mod graph;
 pub mod queue;
 pub mod ranking;
 pub mod score;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -502,6 +502,7 @@
         for output in controller.handle(now, input) {
             match output {
                 Output::Call(call) => self.send(node, life, call),
+                Output::End(why) => panic!("a controller ends: {why}"),
                 Output::Answer(answer) => {
                     let asker = self.askers.remove(&(node, life, answer.conn));
                     if let Some(asker) = asker {
@@ -853,6 +854,7 @@
         checkpoint_s: if saves { 5.0 } else { 0.0 },
         save_s: if saves { 1.0 } else { 0.0 },
         deadline_s: None,
+        awaits: Vec::new(),
     };
     let arrives = busy.mul_f64(rng.f64());
     let aborts = service || rng.f64() < 0.2;
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -33,6 +33,16 @@
         &self.0
     }
 
+    /// The digits of the name.
+    pub fn digits(&self) -> &str {
+        &self.0[PREFIX.len()..]
+    }
+
+    /// The name with these digits.
+    pub fn from_digits(digits: &str) -> Result<Self, BadId> {
+        format!("{PREFIX}{digits}").parse()
+    }
+
     /// One of the job's tasks.
     pub fn task(&self, index: u32) -> TaskId {
         TaskId {
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 
 use crate::{CodecError, JobId, codec};
@@ -113,6 +113,22 @@
     /// When the job should be complete, from its submission on.
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each
+    /// named once.
+    #[serde(
+        default,
+        deserialize_with = "each_once",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub awaits: Vec<JobId>,
+}
+
+fn each_once<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<JobId>, D::Error> {
+    let ids: Option<Vec<JobId>> = Deserialize::deserialize(from)?;
+    let mut ids = ids.unwrap_or_default();
+    ids.sort();
+    ids.dedup();
+    Ok(ids)
 }
 
 /// Why a submission is malformed.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! the deployment's names appear only here, in serde renames. Everything but
 //! the messages between controllers is MessagePack in maps; those are borsh.
 
+pub mod admin;
 pub mod cloud;
 pub mod codec;
 pub mod ids;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -56,3 +56,15 @@
     /// Tasks bound to it.
     pub tasks: Vec<TaskId>,
 }
+
+/// The answer to the question after a controller's level, from the second
+/// level on. Unlike the messages above it keeps its form for ever.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct LevelWord {
+    /// Who answers.
+    pub node: String,
+    /// In which incarnation.
+    pub incarnation: u64,
+    /// The highest format of records that it can read and write.
+    pub level: u32,
+}
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -134,6 +134,49 @@
     pub value_kb: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Lower limits that hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits of the state service to come; what is not named stays.
+#[derive(Clone, Debug, Deserialize)]
+pub struct NextLimits {
+    /// Puts and deletes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Most changes in a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The limits that hold once those to come do.
+    pub fn lowered(&self) -> Self {
+        let next = self.next.as_ref();
+        let least = |now: f64, then: Option<f64>| then.map_or(now, |then| now.min(then));
+        let ops = next.and_then(|n| n.txn_ops);
+        Self {
+            rps: self.rps,
+            write_rps: least(self.write_rps, next.and_then(|n| n.write_rps)),
+            value_kb: least(self.value_kb, next.and_then(|n| n.value_kb)),
+            txn_ops: ops.map_or(self.txn_ops, |ops| self.txn_ops.min(ops)),
+            next: None,
+        }
+    }
+
+    /// The size of the largest value, in bytes of its JSON form.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
+
+    /// Most conditions of a transaction.
+    pub fn txn_conds(&self) -> usize {
+        self.txn_ops * 4
+    }
 }
 
 /// The cloud's limits.
@@ -196,8 +239,22 @@
         if !(p.cloud.list_lag_s >= 0.0 && p.cloud.list_lag_s < 1e6) {
             return bad("`cloud.list_lag_s` has to be 0 or more".into());
         }
-        if p.state.txn_ops < 2 || p.state.value_kb < 2.0 {
-            return bad("`state.txn_ops` and `state.value_kb` have to be at least 2".into());
+        let next = p.state.lowered();
+        let to_come = [
+            ("state.next.write_rps", next.write_rps),
+            ("state.next.value_kb", next.value_kb),
+        ];
+        for (name, value) in to_come {
+            if !(value > 0.0 && value < 1e6) {
+                return bad(format!("`{name}` has to be a positive number, not {value}"));
+            }
+        }
+        for (name, limits) in [("state", &p.state), ("state.next", &next)] {
+            if limits.txn_ops < 2 || limits.value_kb < 2.0 {
+                return bad(format!(
+                    "`{name}.txn_ops` and `{name}.value_kb` have to be at least 2"
+                ));
+            }
         }
         if p.limits.max_sockets < 32 {
             return bad("`limits.max_sockets` has to be at least 32".into());
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -1,5 +1,7 @@
 //! The state service: keys, transactions, leases and watches.
 
+use std::io;
+
 use rmpv::Value;
 use serde::{Deserialize, Serialize};
 
@@ -140,3 +142,53 @@
     #[serde(rename = "log", default)]
     pub events: Vec<Event>,
 }
+
+impl From<Item> for Event {
+    fn from(item: Item) -> Self {
+        Self::Put {
+            key: item.key,
+            value: item.value,
+            version: item.version,
+        }
+    }
+}
+
+impl Event {
+    /// The key that has changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put { key, .. } | Self::Delete { key, .. } => key,
+        }
+    }
+
+    /// The revision of the change.
+    pub fn version(&self) -> u64 {
+        match self {
+            Self::Put { version, .. } | Self::Delete { version, .. } => *version,
+        }
+    }
+}
+
+/// The most that a transaction may take, in bytes of its JSON form.
+pub const MAX_TXN: usize = 64 * 1024;
+
+/// The size of a value or transaction as the limits count it: in its JSON
+/// form. What has none counts as larger than any limit.
+pub fn json_len<T: Serialize>(value: &T) -> usize {
+    struct Count(usize);
+    impl io::Write for Count {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0 += bytes.len();
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut count = Count(0);
+    match serde_json::to_writer(&mut count, value) {
+        Ok(()) => count.0,
+        Err(_) => usize::MAX,
+    }
+}
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -4,7 +4,7 @@
     cloud::MachineTypes,
     decode, encode,
     job::{JobSpec, Priority, Shape},
-    peer::PeerMessage,
+    peer::{LevelWord, MachineView, PeerMessage},
     state::{Change, Event, Events, Txn},
     worker::{DirectOrders, Order, Report, TaskState, Why},
 };
@@ -164,3 +164,75 @@
     );
     assert!(borsh::from_slice::<PeerMessage>(&bytes[1..]).is_err());
 }
+
+/// A message as the commit named `production` in `deploy/service.toml` writes
+/// it: programs of that version refuse any other form.
+#[test]
+fn messages_between_controllers_keep_their_form() {
+    let task = |name: &str| name.parse().expect("a task");
+    let message = PeerMessage {
+        from: "n-1".into(),
+        incarnation: 3,
+        contact_ms: Some(5),
+        base: 4,
+        upto: 9,
+        machines: vec![MachineView {
+            name: "vm-000001".into(),
+            term: 41,
+            usable: true,
+            faulty: false,
+            silent_ms: None,
+            idle_ms: Some(7),
+            free: [1.0, 0.0, 2.5],
+            images: vec!["img-07".into()],
+            tasks: vec![task("j-000412/1")],
+        }],
+        over: vec![task("j-000412/0")],
+        drain: vec!["vm-000002".into()],
+        preempt: vec![task("j-000412/2")],
+    };
+    let bytes = borsh::to_vec(&message).expect("it can be written");
+    let text: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
+    assert_eq!(
+        text,
+        "030000006e2d3103000000000000000105000000000000000400000000000000090000000000000001000000\
+         09000000766d2d3030303030312900000000000000010000010700000000000000000000000000f03f000000\
+         000000000000000000000004400100000006000000696d672d303701000000080000006a2d30303034313201\
+         00000001000000080000006a2d303030343132000000000100000009000000766d2d30303030303201000000\
+         080000006a2d30303034313202000000"
+    );
+    let word = LevelWord {
+        node: "n-1".into(),
+        incarnation: 3,
+        level: 2,
+    };
+    let bytes = borsh::to_vec(&word).expect("it can be written");
+    assert_eq!(bytes, b"\x03\0\0\0n-1\x03\0\0\0\0\0\0\0\x02\0\0\0");
+}
+
+#[test]
+fn awaited_jobs_are_read_as_documented() {
+    let with = |awaits: Value| {
+        let mut job = job();
+        job["awaits"] = awaits;
+        JobSpec::parse(&pack(&job))
+    };
+    let named = with(json!(["j-9", "j-000398", "j-9"])).expect("a good job");
+    let names: Vec<_> = named.awaits.iter().map(|id| id.as_str()).collect();
+    assert_eq!(names, ["j-000398", "j-9"]);
+    for none in [json!(null), json!([])] {
+        assert_eq!(with(none).expect("a good job").awaits, []);
+    }
+    let plain = JobSpec::parse(&pack(&job())).expect("a good job");
+    assert_eq!(plain.awaits, []);
+    assert!(unpack(&encode(&plain)).get("awaits").is_none());
+    for bad in [
+        json!("j-9"),
+        json!(["j-x"]),
+        json!([9]),
+        json!({"j-9": 1}),
+        json!(["j-9/1"]),
+    ] {
+        assert!(with(bad.clone()).is_err(), "{bad}");
+    }
+}
