--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -66,9 +66,6 @@
     NoProof,
     /// Every report is proof, whichever token it shows.
     NoTerms,
-    /// A write that got no answer counts as not executed once a repeat of it
-    /// is refused.
-    RefusalSettles,
     /// Jobs start without those that they await.
     NoAwaiting,
     /// A job is not cancelled with one that it awaits.
--- a/crates/core/src/lists.rs
+++ b/crates/core/src/lists.rs
@@ -155,6 +155,7 @@
         }
         let mut lists = Lists::from([((id, piece), self.list_of(id, piece))]);
         if self.cut_to_size(&mut lists) {
+            log::info!("block {id}: a write in doubt is too large by now and is settled");
             self.write_lists(lists);
             if let Some(write) = self.leader.as_mut().and_then(|l| l.lists.as_mut()) {
                 write.in_doubt = true;
--- a/crates/core/src/upgrade.rs
+++ b/crates/core/src/upgrade.rs
@@ -378,6 +378,7 @@
             let list = value.and_then(MachineList::from_value);
             piece == 0 && !matches!(list, Some(MachineList::Short(_)))
         }
+        Some(Key::Job(_)) => !value.is_some_and(|v| v.is_map()),
         Some(Key::Chunk(..)) => {
             let chunk = value.and_then(ChunkRecord::from_value);
             !matches!(chunk, Some(ChunkRecord::Letters(_)))
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -63,6 +63,29 @@
         /// Until when.
         until: Duration,
     },
+    /// Controllers of the first level are replaced by the present one, one
+    /// after the other: each is killed and comes back new. One that dies before
+    /// its turn comes back old.
+    Roll {
+        /// Who is first; the others follow in order.
+        first: usize,
+        /// When the first is killed.
+        at: Duration,
+        /// How long after it the next one is.
+        every: Duration,
+    },
+    /// The state service lowers its limits to those that the settings announce.
+    Lower {
+        /// When.
+        at: Duration,
+    },
+    /// The answers to transactions are lost, though they are executed.
+    LostAnswers {
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// The cloud takes spot machines, without notice.
     Taken {
         /// When.
@@ -86,8 +109,13 @@
             | Self::Outage { from, until }
             | Self::CloudOutage { from, until }
             | Self::CutWorkers { from, until, .. }
+            | Self::LostAnswers { from, until }
             | Self::PeersRefuse { from, until } => Some(from..until),
-            Self::Crash { .. } | Self::Taken { .. } | Self::Sick { .. } => None,
+            Self::Crash { .. }
+            | Self::Taken { .. }
+            | Self::Sick { .. }
+            | Self::Roll { .. }
+            | Self::Lower { .. } => None,
         }
     }
 }
@@ -138,3 +166,37 @@
     }
     faults
 }
+
+/// Draws a day on which the program is replaced and the limits are lowered
+/// some time later, among the usual troubles.
+pub fn draw_roll(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x726f_6c6c);
+    let ms = Duration::from_millis;
+    let at = ms(rng.u64(15_000..50_000));
+    let every = ms(rng.u64(2_000..15_000));
+    let first = rng.usize(0..nodes);
+    faults.push(Fault::Roll { first, at, every });
+    let new = new_from(&faults, nodes);
+    faults.push(Fault::Lower {
+        at: new + ms(rng.u64(0..60_000)),
+    });
+    if rng.u32(0..3) == 0 {
+        let from = ms(rng.u64(15_000..160_000));
+        let until = from + ms(rng.u64(500..5_000));
+        faults.push(Fault::LostAnswers { from, until });
+    }
+    faults
+}
+
+/// How long a controller takes to come back.
+pub const RESTART: Duration = Duration::from_secs(5);
+
+/// When all controllers have the present program.
+pub fn new_from(faults: &[Fault], nodes: usize) -> Duration {
+    let rolls = faults.iter().filter_map(|f| match f {
+        Fault::Roll { at, every, .. } => Some(*at + *every * (nodes as u32 - 1) + RESTART),
+        _ => None,
+    });
+    rolls.max().unwrap_or_default()
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod worker;
 pub mod world;
 
-pub use faults::{Fault, draw};
+pub use faults::{Fault, draw, draw_roll};
 pub use rules::{Broken, Rules};
 pub use world::{Load, Outcome, Size, World};
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -1,6 +1,12 @@
 //! The policy once more, slow and plain, for the real one to be compared with.
 
-use oliveshift_policy::{Candidate, Task, Weights};
+use std::{collections::BTreeMap, time::Duration};
+
+use oliveshift_policy::{
+    Candidate, Task, Weights,
+    graph::{Claim, Named, Own, Standing},
+};
+use oliveshift_wire::job::Priority;
 
 /// The score by the words of the paper and of our additions, each computed by
 /// itself.
@@ -51,3 +57,63 @@
         })
     })
 }
+
+/// A job by its own record.
+#[derive(Clone, Debug)]
+pub struct PlainJob {
+    /// What it asks for.
+    pub own: Own,
+    /// The jobs that it awaits.
+    pub awaits: Vec<u32>,
+    /// What its record says.
+    pub recorded: Named,
+}
+
+/// Jobs by their numbers.
+pub type PlainJobs = BTreeMap<u32, PlainJob>;
+
+/// Whether a job is cancelled, by its record or with one before it.
+fn is_cancelled(jobs: &PlainJobs, id: u32) -> bool {
+    let job = &jobs[&id];
+    job.recorded == Named::Cancelled || job.awaits.iter().any(|a| is_cancelled(jobs, *a))
+}
+
+/// How an open job stands, by looking at all that it needs.
+pub fn standing(jobs: &PlainJobs, id: u32) -> Standing {
+    if is_cancelled(jobs, id) {
+        return Standing::Cancelled;
+    }
+    let mut since = jobs[&id].own.arrived;
+    for awaited in &jobs[&id].awaits {
+        match jobs[awaited].recorded {
+            Named::Done(at) => since = since.max(at),
+            _ => return Standing::Waits,
+        }
+    }
+    Standing::Ready(since)
+}
+
+/// What an open job may claim, by looking at all that need it.
+pub fn claim(jobs: &PlainJobs, id: u32) -> Option<Claim> {
+    if is_cancelled(jobs, id) {
+        return None;
+    }
+    let own = jobs[&id].own;
+    let mut priority = own.priority;
+    let mut due = own.due;
+    for (other, job) in jobs {
+        let open = job.recorded == Named::Open && job.awaits.contains(&id);
+        if let Some(theirs) = open.then(|| claim(jobs, *other)).flatten() {
+            priority = priority.min(theirs.priority.max(Priority::High));
+            due = match (due, theirs.latest_start) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
+        }
+    }
+    let before = |at: Duration| at.saturating_sub(own.length);
+    Some(Claim {
+        priority,
+        latest_start: due.map(before),
+    })
+}
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -29,6 +29,11 @@
     NotDone,
     /// A final phase was taken back.
     WentBack,
+    /// A task started before all jobs that its job awaits were done.
+    TooEarly,
+    /// A job was called open although one before it had been cancelled for
+    /// long.
+    Orphaned,
 }
 
 /// A machine as the rules see it.
@@ -62,6 +67,8 @@
     told: BTreeMap<JobId, JobPhase>,
     asked_to_cancel: BTreeSet<JobId>,
     cancelled: BTreeMap<JobId, Duration>,
+    /// When each user was first told that a job is cancelled.
+    told_cancelled: BTreeMap<JobId, Duration>,
 }
 
 impl Rules {
@@ -97,6 +104,10 @@
         {
             self.broke(now, Broken::WrongPlace, format!("{task} on {machine}"));
         }
+        let early = spec.awaits.iter().find(|id| !self.is_done(id));
+        if let Some(awaited) = early.cloned() {
+            self.broke(now, Broken::TooEarly, format!("{task} before {awaited}"));
+        }
         let mut zones: BTreeMap<String, u32> = BTreeMap::new();
         let job = task.job.clone();
         for (_, machines) in self.on.range(job.task(0)..=job.task(u32::MAX)) {
@@ -120,6 +131,25 @@
         self.watch_cancelled(now);
     }
 
+    /// Whether all tasks of a job have completed.
+    fn is_done(&self, job: &JobId) -> bool {
+        let all = |spec: &JobSpec| (0..spec.tasks).all(|i| self.done.contains(&job.task(i)));
+        self.jobs.get(job).is_some_and(all)
+    }
+
+    /// All jobs that a job needs, directly or through others, and itself.
+    fn with_needed(&self, job: &JobId) -> BTreeSet<JobId> {
+        let mut all = BTreeSet::new();
+        let mut next = vec![job.clone()];
+        while let Some(id) = next.pop() {
+            if let Some(spec) = self.jobs.get(&id) {
+                next.extend(spec.awaits.iter().cloned());
+            }
+            all.insert(id);
+        }
+        all
+    }
+
     /// A task has left a machine.
     pub fn leaves(&mut self, task: &TaskId, machine: &str) {
         if let Some(on) = self.on.get_mut(task) {
@@ -157,7 +187,12 @@
         let Some(spec) = self.jobs.get(job).cloned() else {
             return self.broke(now, Broken::Invented, job.to_string());
         };
-        self.accepted.insert(job.clone());
+        if self.accepted.insert(job.clone()) {
+            let unknown = spec.awaits.iter().find(|id| !self.jobs.contains_key(*id));
+            if let Some(unknown) = unknown {
+                self.broke(now, Broken::Invented, format!("{job} awaits {unknown}"));
+            }
+        }
         let before = self.told.insert(job.clone(), phase);
         let is_final = |p| matches!(p, JobPhase::Done | JobPhase::Cancelled);
         if before.is_some_and(|b| is_final(b) && b != phase) {
@@ -169,18 +204,25 @@
         }
         match phase {
             JobPhase::Done => {
-                let missing = (0..spec.tasks).find(|i| !self.done.contains(&job.task(*i)));
-                if missing.is_some() || spec.shape == Shape::Service {
+                if !self.is_done(job) || spec.shape == Shape::Service {
                     self.broke(now, Broken::NotDone, job.to_string());
                 }
             }
             JobPhase::Cancelled => {
-                if !self.asked_to_cancel.contains(job) {
+                if self.with_needed(job).is_disjoint(&self.asked_to_cancel) {
                     self.broke(now, Broken::WentBack, format!("{job}: not its user's wish"));
                 }
                 self.cancelled.entry(job.clone()).or_insert(now);
+                self.told_cancelled.entry(job.clone()).or_insert(now);
+            }
+            JobPhase::Pending | JobPhase::Running => {
+                let needed = self.with_needed(job);
+                let long = |at: &Duration| now > *at + self.cancel;
+                let told = needed.iter().filter_map(|id| self.told_cancelled.get(id));
+                if told.into_iter().any(long) {
+                    self.broke(now, Broken::Orphaned, job.to_string());
+                }
             }
-            JobPhase::Pending | JobPhase::Running => {}
         }
     }
 
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -9,7 +9,9 @@
 use oliveshift_wire::{
     decode, encode,
     job::Refusal,
-    state::{Change, Event, Events, Item, LeaseGrant, NewLease, Page, Txn, TxnAnswer},
+    state::{
+        Change, Event, Events, Item, LeaseGrant, MAX_TXN, NewLease, Page, Txn, TxnAnswer, json_len,
+    },
 };
 use rmpv::Value;
 
@@ -32,8 +34,23 @@
     log: Vec<(u64, Event)>,
     holds: BTreeMap<u64, Hold>,
     next_hold: u64,
+    limits: Limits,
+    /// Changes that may be made now.
+    tokens: f64,
+    tokens_at: Duration,
+    /// Transactions refused for their size, and for coming too fast.
+    pub refused: (usize, usize),
+}
+
+/// What the store takes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Limits {
     /// Most changes in a transaction.
-    txn_ops: usize,
+    pub txn_ops: usize,
+    /// Largest value, in bytes of its JSON form.
+    pub value_bytes: usize,
+    /// Changes a second; a second's worth may come at once.
+    pub write_rps: f64,
 }
 
 /// What a request leads to.
@@ -63,20 +80,26 @@
 
 impl State {
     /// An empty store.
-    pub fn new(txn_ops: usize) -> Self {
+    pub fn new(limits: Limits) -> Self {
         Self {
-            txn_ops,
+            limits,
+            tokens: limits.write_rps,
             ..Self::default()
         }
     }
 
+    /// Other limits hold from now on. What is stored stays.
+    pub fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Executes a request.
     pub fn execute(&mut self, now: Duration, call: &Call) -> Done {
         let path = call.path.split('?').next().unwrap_or_default();
         let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
         match (call.method, parts.as_slice()) {
             (Method::Post, ["multi"]) => match decode::<Txn>(&call.body) {
-                Ok(txn) => self.txn(txn),
+                Ok(txn) => self.txn(now, txn),
                 Err(e) => error(400, &e.to_string()),
             },
             (Method::Post, ["holds"]) => match decode::<NewLease>(&call.body) {
@@ -152,9 +175,40 @@
         self.revision
     }
 
-    fn txn(&mut self, txn: Txn) -> Done {
-        assert!(txn.changes.len() <= self.txn_ops, "too many changes");
-        assert!(txn.conds.len() <= 4 * self.txn_ops, "too many conditions");
+    /// Whether a transaction keeps to the sizes allowed.
+    fn takes(&self, txn: &Txn) -> bool {
+        let small = |change: &Change| match change {
+            Change::Put { value, .. } => json_len(value) <= self.limits.value_bytes,
+            Change::Delete { .. } => true,
+        };
+        txn.changes.len() <= self.limits.txn_ops
+            && txn.conds.len() <= 4 * self.limits.txn_ops
+            && txn.changes.iter().all(small)
+            && json_len(txn) <= MAX_TXN
+    }
+
+    /// Whether so many changes may be made now.
+    fn take_tokens(&mut self, now: Duration, changes: f64) -> bool {
+        let rate = self.limits.write_rps;
+        let passed = now.saturating_sub(self.tokens_at).as_secs_f64();
+        self.tokens = (self.tokens + passed * rate).min(rate);
+        self.tokens_at = now;
+        let enough = self.tokens >= changes;
+        if enough {
+            self.tokens -= changes;
+        }
+        enough
+    }
+
+    fn txn(&mut self, now: Duration, txn: Txn) -> Done {
+        if !self.takes(&txn) {
+            self.refused.0 += 1;
+            return error(400, "too large");
+        }
+        if !self.take_tokens(now, txn.changes.len() as f64) {
+            self.refused.1 += 1;
+            return error(429, "too many changes");
+        }
         for change in &txn.changes {
             if let Change::Put { lease: Some(l), .. } = change
                 && !self.holds.contains_key(l)
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -8,6 +8,7 @@
 
 use oliveshift_core::{
     Call, CallId, Controller, Input, Method, Now, Output, Reply, Request, Sabotage, Side, Target,
+    records::Level,
 };
 use oliveshift_wire::{
     JobId, decode, encode,
@@ -19,16 +20,16 @@
 
 use crate::{
     cloud::Cloud,
-    faults::Fault,
+    faults::{Fault, RESTART, new_from},
     rules::{Broken, Rules, Site},
-    state::{Done, State},
+    state::{Done, Limits, State},
     worker::Worker,
 };
 
 const MS: Duration = Duration::from_millis(1);
+const S: Duration = Duration::from_secs(1);
 const TICK: Duration = Duration::from_millis(60);
 const STEP: Duration = Duration::from_millis(30);
-const RESTART: Duration = Duration::from_secs(5);
 const REPORT_PATIENCE: Duration = Duration::from_secs(4);
 const NODES: usize = 3;
 const ZONES: [&str; 2] = ["east", "west"];
@@ -48,6 +49,11 @@
     pub slowest_answer: Duration,
     /// What the controllers asked of the outside.
     pub load: Load,
+    /// Transactions that the state service refused for their size, and as too
+    /// many.
+    pub refused_writes: (usize, usize),
+    /// Jobs that were refused when they were submitted.
+    pub refused_jobs: BTreeSet<JobId>,
 }
 
 /// Counts of what the controllers send.
@@ -74,6 +80,8 @@
     pub factor: u32,
     /// Requests and changes a second that the state service takes.
     pub state: (u32, u32),
+    /// Pipelines of jobs besides.
+    pub pipelines: usize,
 }
 
 impl Size {
@@ -83,6 +91,12 @@
         jobs: 24,
         factor: 1,
         state: (120, 40),
+        pipelines: 0,
+    };
+    /// The same with pipelines, at a state service that lowers its limits.
+    pub const PIPELINES: Self = Self {
+        pipelines: 6,
+        ..Self::SMALL
     };
     /// Hundreds of machines, at a state service with narrow limits.
     pub const GROWN: Self = Self {
@@ -90,12 +104,30 @@
         jobs: 70,
         factor: 20,
         state: (100, 25),
+        pipelines: 0,
     };
+
+    /// What the state service takes at first, and what once it has lowered its
+    /// limits.
+    fn limits(&self) -> [Limits; 2] {
+        let first = Limits {
+            txn_ops: 20,
+            value_bytes: 16 * 1024,
+            write_rps: f64::from(self.state.1),
+        };
+        let then = Limits {
+            txn_ops: 6,
+            value_bytes: 2 * 1024,
+            write_rps: f64::from(self.state.1) * 0.7,
+        };
+        [first, then]
+    }
 }
 
 struct Node {
     controller: Option<Controller>,
     settings: Settings,
+    level: Level,
     life: u64,
     back_at: Duration,
     started: Duration,
@@ -110,6 +142,8 @@
     Report(usize, u64, Vec<u8>, String),
     ReportAnswer(u64, String, u16, Vec<u8>),
     Crash(usize),
+    Upgrade(usize),
+    Lower,
     Taken,
     Sick(usize),
     RefreshLeases,
@@ -132,6 +166,9 @@
 
 struct User {
     spec: JobSpec,
+    /// Jobs that have to be accepted, or to be over, before it is submitted.
+    after: Vec<usize>,
+    late: bool,
     next: Duration,
     abort_at: Option<Duration>,
     accepted: bool,
@@ -156,6 +193,8 @@
     askers: HashMap<(usize, u64, u64), Asker>,
     reports: HashMap<u64, (u64, Duration)>,
     users: Vec<User>,
+    refused_jobs: BTreeSet<JobId>,
+    limits: [Limits; 2],
     faults: Vec<Fault>,
     sabotage: Option<Sabotage>,
     next_id: u64,
@@ -174,13 +213,20 @@
         )
     };
     let peers: Vec<_> = (0..NODES).filter(|i| *i != node).map(peer).collect();
+    let next = match size.limits() {
+        [_, then] if size.pipelines > 0 => format!(
+            r#","next":{{"write_rps":{},"value_kb":2.0,"txn_ops":{}}}"#,
+            then.write_rps, then.txn_ops
+        ),
+        _ => String::new(),
+    };
     let text = format!(
         r#"{{"member":"n-{node}","site":"{}","bind":"10.0.0.{}:80","internal_addr":"10.0.0.{}:81",
         "members":[{}],"outside":{{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"}},
         "deployment":{{"zones":["east","west"],"teams":[
           {{"name":"red","cpus":{},"cpus_max":{}}},{{"name":"blue","cpus":{},"cpus_max":{}}}],
         "workers":{{"report_s":2.0,"lease_s":12.0,"cancel_s":30.0}},
-        "state":{{"rps":{},"write_rps":{},"value_kb":16,"txn_ops":20}},
+        "state":{{"rps":{},"write_rps":{},"value_kb":16,"txn_ops":20{next}}},
         "cloud":{{"rps":6,"list_lag_s":3}},"limits":{{"max_sockets":1000}}}}}}"#,
         ZONES[node % 2],
         node + 1,
@@ -215,12 +261,16 @@
         let limits = [("red", 40.0), ("blue", 24.0)]
             .map(|(team, cpus)| (team.to_owned(), cpus * f64::from(size.factor)));
         let rules = Rules::new(limits.into(), Duration::from_secs(30));
-        let users = (0..size.jobs)
+        let mut users: Vec<_> = (0..size.jobs)
             .map(|i| draw_user(&mut rng, i, busy, size.factor))
             .collect();
+        let new = new_from(&faults, NODES);
+        draw_pipelines(&mut users, seed, size.pipelines, new, busy);
+        let rolls = faults.iter().any(|f| matches!(f, Fault::Roll { .. }));
         let nodes = (0..NODES).map(|i| Node {
             controller: None,
             settings: settings(i, size),
+            level: if rolls { Level::FIRST } else { Level::OWN },
             life: 0,
             back_at: Duration::ZERO,
             started: Duration::ZERO,
@@ -231,7 +281,7 @@
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             nodes: nodes.collect(),
-            state: State::new(20),
+            state: State::new(size.limits()[0]),
             cloud: Cloud::new(&zones, rng.u64(..)),
             workers: BTreeMap::new(),
             dead: BTreeSet::new(),
@@ -240,6 +290,8 @@
             askers: HashMap::new(),
             reports: HashMap::new(),
             users,
+            refused_jobs: BTreeSet::new(),
+            limits: size.limits(),
             faults,
             sabotage,
             next_id: 0,
@@ -262,6 +314,13 @@
                 Fault::Crash { node, at } => world.at(at, Event::Crash(node)),
                 Fault::Taken { at } => world.at(at, Event::Taken),
                 Fault::Sick { machine, at } => world.at(at, Event::Sick(machine)),
+                Fault::Roll { first, at, every } => {
+                    for i in 0..NODES {
+                        let node = (first + i) % NODES;
+                        world.at(at + every * i as u32, Event::Upgrade(node));
+                    }
+                }
+                Fault::Lower { at } => world.at(at, Event::Lower),
                 Fault::Outage { until, .. } => world.at(until, Event::RefreshLeases),
                 _ => {}
             }
@@ -297,6 +356,8 @@
             slowest_answer: self.slowest_answer,
             load: self.load,
             accepted: self.users.iter().filter(|u| u.accepted).count(),
+            refused_writes: self.state.refused,
+            refused_jobs: self.refused_jobs,
             broken: self.rules.broken,
         }
     }
@@ -335,12 +396,14 @@
             Event::ReportAnswer(report, name, status, body) => {
                 self.report_answered(report, &name, status, &body);
             }
-            Event::Crash(node) => {
-                self.nodes[node].controller = None;
-                self.nodes[node].life += 1;
-                self.nodes[node].back_at = self.now + RESTART;
-                self.watches.retain(|w| w.0 != node);
+            Event::Crash(node) => self.crash(node),
+            Event::Upgrade(node) => {
+                self.nodes[node].level = Level::OWN;
+                if self.nodes[node].controller.is_some() {
+                    self.crash(node);
+                }
             }
+            Event::Lower => self.state.limit(self.limits[1]),
             Event::Taken => {
                 let spot = |w: &&Worker| w.site.spot;
                 let taken: Vec<_> = self.workers.values().filter(spot).collect();
@@ -361,10 +424,17 @@
         }
     }
 
+    fn crash(&mut self, node: usize) {
+        self.nodes[node].controller = None;
+        self.nodes[node].life += 1;
+        self.nodes[node].back_at = self.now + RESTART;
+        self.watches.retain(|w| w.0 != node);
+    }
+
     fn start(&mut self, node: usize) {
         let seed = self.rng.u64(..);
         let n = &mut self.nodes[node];
-        let mut controller = Controller::new(n.settings.clone(), seed);
+        let mut controller = Controller::of_level(n.settings.clone(), seed, n.level);
         controller.sabotage = self.sabotage;
         n.controller = Some(controller);
         n.started = self.now;
@@ -566,7 +636,9 @@
                 if self.outage() || self.refused(node) {
                     return self.answer_call(node, life, id, 503, Vec::new());
                 }
+                let lost = self.is_on(|f| matches!(f, Fault::LostAnswers { .. }));
                 match self.state.execute(self.now, &call) {
+                    Done::Answer(200 | 409, _) if lost && call.path == "/multi" => {}
                     Done::Answer(status, body) => self.answer_call(node, life, id, status, body),
                     Done::Wait { after, block } => {
                         self.watches.push((node, life, id, after));
@@ -724,6 +796,19 @@
     fn users_act(&mut self) {
         let now = self.now;
         for i in 0..self.users.len() {
+            let user = &self.users[i];
+            let waits = |j: &usize| {
+                let other = &self.users[*j];
+                !(if user.late {
+                    other.ended
+                } else {
+                    other.accepted
+                })
+            };
+            let refused = self.refused_jobs.contains(&user.spec.id);
+            if refused || user.after.iter().any(waits) {
+                continue;
+            }
             let user = &mut self.users[i];
             if now < user.next || user.waiting.is_some_and(|at| now < at) {
                 continue;
@@ -804,7 +889,12 @@
                     user.next = now + MS * 4000;
                 }
             }
-            400 | 404 | 422 => self.rules.denied(now, &job),
+            400 | 404 | 422 => {
+                self.rules.denied(now, &job);
+                if what == Ask::Submit {
+                    self.refused_jobs.insert(job);
+                }
+            }
             _ => {
                 if let Some(user) = user {
                     user.waiting = None;
@@ -864,6 +954,8 @@
             spread: spec.spread && !spec.one_zone && spec.zone.is_none(),
             ..spec
         },
+        after: Vec::new(),
+        late: false,
         next: arrives,
         abort_at: aborts.then_some(arrives + after),
         accepted: false,
@@ -871,3 +963,56 @@
         waiting: None,
     }
 }
+
+/// Pipelines of one job, then up to three, then one and a last one that has the
+/// deadline. Some await a job from before or are submitted late, and some are
+/// cancelled somewhere. Drawn apart from the rest, so that days without them
+/// stay what they are.
+fn draw_pipelines(users: &mut Vec<User>, seed: u64, count: usize, from: Duration, busy: Duration) {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x7069_7065);
+    for _ in 0..count {
+        // A description that is larger than the lower limits allow, from
+        // before the roll or from after it.
+        let mut wordy = draw_user(&mut rng, users.len(), busy, 1);
+        let names =
+            (0..40).map(|i| format!("a machine type that is not rented here any more, {i}"));
+        wordy.spec.types = Some(names.chain(["large".to_owned()]).collect());
+        users.push(wordy);
+        let begins = from + busy.saturating_sub(from).mul_f64(rng.f64());
+        let arrays = users.iter().enumerate();
+        let arrays = arrays.filter(|(_, u)| u.spec.shape == Shape::Array);
+        let earlier: Vec<_> = arrays.map(|(i, _)| i).collect();
+        let mut before = Vec::new();
+        if rng.f64() < 0.4
+            && let Some(earlier) = rng.choice(earlier)
+        {
+            before.push(earlier);
+        }
+        let team = if rng.bool() { "red" } else { "blue" };
+        for stage in 0..4 {
+            let jobs = if stage == 1 { rng.usize(1..=3) } else { 1 };
+            let mut now = Vec::new();
+            for _ in 0..jobs {
+                let mut user = draw_user(&mut rng, users.len(), busy, 1);
+                let cancels = rng.f64() < 0.06;
+                let after = S * rng.u32(1..60);
+                user.abort_at = cancels.then_some(begins + after);
+                user.next = begins;
+                user.late = stage == 3 && rng.f64() < 0.3;
+                user.spec.shape = Shape::Array;
+                user.spec.team = team.into();
+                user.spec.estimate_s = rng.f64() * 8.0 + 1.0;
+                user.spec.priority = match stage {
+                    3 => Priority::High,
+                    _ => Priority::Low,
+                };
+                user.spec.deadline_s = (stage == 3).then_some(60.0);
+                user.spec.awaits = before.iter().map(|i| users[*i].spec.id.clone()).collect();
+                user.after = before.clone();
+                now.push(users.len());
+                users.push(user);
+            }
+            before = now;
+        }
+    }
+}
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oliveshift_core::Sabotage;
-use oliveshift_testkit::{Broken, Fault, Outcome, Size, World, draw};
+use oliveshift_testkit::{Broken, Fault, Outcome, Size, World, draw, draw_roll};
 
 const S: Duration = Duration::from_secs(1);
 
@@ -132,6 +132,71 @@
     }
 }
 
+/// Plays a day with pipelines on which the program is replaced.
+fn roll(seed: u64, faults: Vec<Fault>, sabotage: Option<Sabotage>) -> Outcome {
+    let _ = env_logger::Builder::from_default_env()
+        .is_test(true)
+        .try_init();
+    World::sized(Size::PIPELINES, seed, S * 150, faults, sabotage).run(S * 480)
+}
+
+fn good_roll(seed: u64, faults: Vec<Fault>) {
+    let text = format!("{faults:?}");
+    let outcome = roll(seed, faults, None);
+    assert_eq!(outcome.broken, [], "seed {seed}: {text}");
+    assert_eq!(outcome.open, [], "seed {seed}: {text}");
+    assert_eq!(outcome.refused_writes.0, 0, "seed {seed}: {text}");
+    assert!(outcome.refused_jobs.is_empty(), "seed {seed}");
+}
+
+#[test]
+fn drawn_days_with_a_roll() {
+    for seed in 100..140 {
+        good_roll(seed, draw_roll(seed, 3, S * 180));
+    }
+}
+
+/// What was awaited under the old program, or is cancelled with it, is known
+/// under the new one; and the roll itself costs nobody anything.
+#[test]
+fn a_quiet_roll() {
+    for seed in 30..34 {
+        let roll = Fault::Roll {
+            first: seed as usize % 3,
+            at: S * 20,
+            every: S * 8,
+        };
+        good_roll(seed, vec![roll, Fault::Lower { at: S * 42 }]);
+    }
+}
+
+/// Hundreds of machines, whose lists are larger than the lower limits allow.
+#[test]
+fn a_grown_roll() {
+    let size = Size {
+        pipelines: 12,
+        ..Size::GROWN
+    };
+    let faults = vec![
+        Fault::Roll {
+            first: 1,
+            at: S * 30,
+            every: S * 10,
+        },
+        Fault::Lower { at: S * 58 },
+        Fault::Taken { at: S * 70 },
+        Fault::Crash {
+            node: 0,
+            at: S * 80,
+        },
+    ];
+    let outcome = World::sized(size, 50, S * 100, faults, None).run(S * 320);
+    assert_eq!(outcome.broken, []);
+    assert_eq!(outcome.open, []);
+    assert_eq!(outcome.refused_writes.0, 0);
+    assert!(outcome.started > 3000, "{} started", outcome.started);
+}
+
 /// A longer search for broken rules, run by hand after larger changes.
 #[test]
 #[ignore = "takes minutes"]
@@ -139,6 +204,9 @@
     for seed in 1000..1600 {
         good(seed, draw(seed, 3, S * 180));
     }
+    for seed in 1000..1600 {
+        good_roll(seed, draw_roll(seed, 3, S * 180));
+    }
     for seed in 0..24 {
         let faults = draw(seed, 3, S * 140);
         grown(seed, faults, S * 400);
@@ -275,3 +343,41 @@
         faults
     });
 }
+
+/// Whether breaking the code on purpose shows on some of the days with a roll.
+fn is_caught_in_a_roll(sabotage: Sabotage, shows: impl Fn(&Outcome) -> bool) {
+    let caught = (0..12).any(|seed| {
+        let roll_at = |first, at| Fault::Roll {
+            first,
+            at: S * at,
+            every: S * 9,
+        };
+        let faults = vec![roll_at(seed as usize % 3, 30), Fault::Lower { at: S * 60 }];
+        shows(&roll(seed, faults, Some(sabotage)))
+    });
+    assert!(caught, "{sabotage:?} went unnoticed");
+}
+
+fn broke(rule: Broken) -> impl Fn(&Outcome) -> bool {
+    move |outcome| outcome.broken.iter().any(|(_, b, _)| *b == rule)
+}
+
+#[test]
+fn starting_too_early_is_caught() {
+    is_caught_in_a_roll(Sabotage::NoAwaiting, broke(Broken::TooEarly));
+}
+
+#[test]
+fn forgetting_the_chain_is_caught() {
+    is_caught_in_a_roll(Sabotage::NoChain, broke(Broken::Orphaned));
+}
+
+#[test]
+fn new_forms_among_old_programs_are_caught() {
+    is_caught_in_a_roll(Sabotage::SwitchEarly, broke(Broken::Forgotten));
+}
+
+#[test]
+fn ignoring_the_limits_to_come_is_caught() {
+    is_caught_in_a_roll(Sabotage::NoLowering, |outcome| outcome.refused_writes.0 > 0);
+}
--- a/crates/testkit/tests/policy.rs
+++ b/crates/testkit/tests/policy.rs
@@ -1,8 +1,15 @@
 //! The policy against the slow plain model.
 
-use oliveshift_policy::{Candidate, Task, Weights, best, ranking::Ranking, score::minus};
-use oliveshift_testkit::model;
-use oliveshift_wire::job::Amounts;
+use std::time::Duration;
+
+use oliveshift_policy::{
+    Candidate, Task, Weights, best,
+    graph::{Graph, Named, Own, Standing},
+    ranking::Ranking,
+    score::minus,
+};
+use oliveshift_testkit::model::{self, PlainJob, PlainJobs};
+use oliveshift_wire::job::{Amounts, Priority};
 
 #[test]
 fn the_top_scorer_is_the_models() {
@@ -101,3 +108,157 @@
     }
     assert!(placed > 400, "{placed}");
 }
+
+fn draw_own(rng: &mut fastrand::Rng, now: u64) -> Own {
+    let priorities = [
+        Priority::Production,
+        Priority::High,
+        Priority::Normal,
+        Priority::Low,
+    ];
+    Own {
+        priority: priorities[rng.usize(0..4)],
+        length: Duration::from_secs(rng.u64(0..30)),
+        due: (rng.u32(0..3) == 0).then(|| Duration::from_secs(now + rng.u64(0..200))),
+        arrived: Duration::from_secs(now),
+    }
+}
+
+fn compare(graph: &Graph<u32>, jobs: &PlainJobs, what: &str) {
+    for (id, job) in jobs {
+        if job.recorded == Named::Open {
+            let real = (graph.standing(id), graph.claim(id));
+            let plain = (Some(model::standing(jobs, *id)), model::claim(jobs, *id));
+            assert_eq!(real, plain, "{what}: job {id}");
+        } else {
+            assert_eq!(graph.standing(id), None, "{what}: job {id}");
+        }
+    }
+}
+
+/// Enters a job as its record has it, in whatever order records are read.
+fn enter(graph: &mut Graph<u32>, read: &PlainJobs, id: u32, job: &PlainJob) {
+    match job.recorded {
+        Named::Open => {
+            let awaits = job.awaits.iter().map(|a| {
+                let known = read.get(a).map_or(Named::Open, |j| j.recorded);
+                (*a, known)
+            });
+            graph.open(id, job.own, awaits.collect::<Vec<_>>());
+        }
+        Named::Done(at) => graph.done(&id, at),
+        Named::Cancelled => graph.cancelled(&id),
+    }
+}
+
+/// Random graphs, with jobs that end or are cancelled at any moment; and the
+/// same records read anew in a random order.
+#[test]
+fn what_follows_for_awaiting_jobs_is_the_models() {
+    let mut rng = fastrand::Rng::with_seed(13);
+    let (mut waited, mut chained) = (0, 0);
+    for round in 0..60 {
+        let mut graph = Graph::default();
+        let mut jobs = PlainJobs::new();
+        for step in 0..60u64 {
+            let open: Vec<u32> = jobs
+                .iter()
+                .filter(|(_, j)| j.recorded == Named::Open)
+                .map(|(id, _)| *id)
+                .collect();
+            let chosen = rng.choice(open);
+            match (rng.u32(0..10), chosen) {
+                (0, Some(id)) => {
+                    graph.cancelled(&id);
+                    jobs.get_mut(&id).expect("known").recorded = Named::Cancelled;
+                }
+                (1..4, Some(id)) => {
+                    if let Standing::Ready(_) = model::standing(&jobs, id) {
+                        let at = Duration::from_secs(step + rng.u64(0..5));
+                        graph.done(&id, at);
+                        jobs.get_mut(&id).expect("known").recorded = Named::Done(at);
+                    }
+                }
+                _ => {
+                    let id = jobs.len() as u32;
+                    let count = rng.usize(0..4.min(jobs.len() + 1));
+                    let job = PlainJob {
+                        own: draw_own(&mut rng, step),
+                        awaits: rng.choose_multiple(jobs.keys().copied(), count),
+                        recorded: Named::Open,
+                    };
+                    enter(&mut graph, &jobs, id, &job);
+                    jobs.insert(id, job);
+                }
+            }
+            compare(&graph, &jobs, &format!("round {round}, step {step}"));
+        }
+        let mut order: Vec<u32> = jobs.keys().copied().collect();
+        rng.shuffle(&mut order);
+        let (mut graph, mut read) = (Graph::default(), PlainJobs::new());
+        for id in order {
+            enter(&mut graph, &read, id, &jobs[&id]);
+            read.insert(id, jobs[&id].clone());
+        }
+        compare(&graph, &jobs, &format!("round {round}, read anew"));
+        for (id, job) in &jobs {
+            if job.recorded == Named::Open {
+                match model::standing(&jobs, *id) {
+                    Standing::Waits => waited += 1,
+                    Standing::Cancelled => chained += 1,
+                    Standing::Ready(_) => {}
+                }
+            }
+        }
+    }
+    assert!(waited > 100 && chained > 100, "{waited} {chained}");
+}
+
+/// Chains of thousands, one job awaited by thousands, thousands awaited by
+/// one: what changes is found without looking at the rest.
+#[test]
+fn deep_and_broad_graphs() {
+    const MANY: u32 = 5000;
+    let own = |priority| Own {
+        priority,
+        length: Duration::from_secs(1),
+        due: None,
+        arrived: Duration::ZERO,
+    };
+    let at = Duration::from_secs(9);
+    let mut chain = Graph::default();
+    for id in 0..MANY {
+        let before = id.checked_sub(1).map(|b| (b, Named::Open));
+        chain.open(id, own(Priority::Low), before);
+    }
+    let last = Own {
+        due: Some(Duration::from_secs(10_000)),
+        ..own(Priority::High)
+    };
+    chain.open(MANY, last, [(MANY - 1, Named::Open)]);
+    let first = chain.claim(&0).expect("open");
+    assert_eq!(first.priority, Priority::High);
+    let start = Duration::from_secs(10_000 - u64::from(MANY) - 1);
+    assert_eq!(first.latest_start, Some(start));
+    chain.done(&0, at);
+    assert_eq!(chain.take_changed(), [1]);
+    chain.cancelled(&1);
+    assert_eq!(chain.take_changed().len() as u32, MANY);
+
+    let mut broad = Graph::default();
+    broad.open(0, own(Priority::Low), []);
+    for id in 1..MANY {
+        broad.open(id, own(Priority::Low), [(0, Named::Open)]);
+    }
+    let all = (1..MANY).map(|id| (id, Named::Open));
+    broad.open(MANY, own(Priority::Normal), all);
+    assert_eq!(broad.claim(&0).map(|c| c.priority), Some(Priority::Normal));
+    broad.done(&0, at);
+    assert_eq!(broad.take_changed().len() as u32, MANY - 1);
+    for id in 1..MANY {
+        assert_eq!(broad.standing(&MANY), Some(Standing::Waits));
+        broad.done(&id, at);
+    }
+    assert_eq!(broad.take_changed(), [MANY]);
+    assert_eq!(broad.standing(&MANY), Some(Standing::Ready(at)));
+}
