--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `oliveshift`: one controller of the service.
 
+mod admin;
 mod client;
 mod logging;
 mod runtime;
@@ -9,7 +10,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Args, Parser, Subcommand};
-use oliveshift_wire::settings::{BadSettings, Settings};
+use oliveshift_wire::settings::{BadSettings, Settings, StateLimits};
 use thiserror::Error;
 
 /// A layer-aware, load-adaptive cluster scheduler.
@@ -41,6 +42,9 @@
         /// The settings file (JSON).
         file: PathBuf,
     },
+    /// Asks a running controller.
+    #[command(subcommand)]
+    Admin(admin::Admin),
 }
 
 /// Why the program can't start.
@@ -61,6 +65,19 @@
 fn check(settings: &Settings) {
     println!("{}: settings are good", settings.node);
     println!("controllers:   {}", settings.peers_and_me());
+    let limits = |limits: &StateLimits| {
+        format!(
+            "{} KiB a value, {} changes a transaction, {} a second",
+            limits.value_kb, limits.txn_ops, limits.write_rps
+        )
+    };
+    println!("state service: {}", limits(&settings.params.state));
+    if settings.params.state.next.is_some() {
+        println!(
+            "  to come:     {}",
+            limits(&settings.params.state.lowered())
+        );
+    }
     println!("zones:         {}", settings.params.zones.join(", "));
     println!("contact limit: {:.1?}", settings.contact_limit());
     println!("lease limit:   {:.1?}", settings.lease_limit());
@@ -70,6 +87,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let file = match (&cli.command, &cli.run.config) {
+        (Some(Command::Admin(command)), _) => return admin::run(command),
         (Some(Command::Check { file }), _) | (None, Some(file)) => file,
         // `clap` asks for one of both.
         (None, None) => return ExitCode::from(2),
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -83,6 +83,12 @@
         _ => Method::Other,
     };
     let path = request.url().path().to_owned();
+    // Operators speak JSON, everybody else MessagePack.
+    let form = if path.starts_with("/admin/") {
+        "application/json"
+    } else {
+        "application/msgpack"
+    };
     let answer = runtime.request(side, method, path, body).await;
     let Some(answer) = answer else {
         return Ok(refusal(StatusCode::ServiceUnavailable, "no answer"));
@@ -90,7 +96,7 @@
     let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
     let mut response = Response::new(status);
     response.set_body(answer.body);
-    response.insert_header(headers::CONTENT_TYPE, "application/msgpack");
+    response.insert_header(headers::CONTENT_TYPE, form);
     if let Some(after) = answer.retry_after {
         response.insert_header(headers::RETRY_AFTER, after.as_secs().max(1).to_string());
     }
--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -70,6 +70,19 @@
             "address",
         ),
         ("limit", &good.replace("30.0}", "12.5}"), "cancel_s"),
+        (
+            "limits to come",
+            &good.replace("\"txn_ops\":20", "\"txn_ops\":20,\"next\":{\"txn_ops\":1}"),
+            "state.next.txn_ops",
+        ),
+        (
+            "no rate to come",
+            &good.replace(
+                "\"txn_ops\":20",
+                "\"txn_ops\":20,\"next\":{\"write_rps\":0}",
+            ),
+            "state.next.write_rps",
+        ),
         (
             "negative",
             &good.replace("_s\":2.0", "_s\":-2.0"),
@@ -89,6 +102,7 @@
 struct Running {
     child: Child,
     public: SocketAddr,
+    internal: SocketAddr,
     path: PathBuf,
 }
 
@@ -113,6 +127,7 @@
     let running = Running {
         child,
         public,
+        internal,
         path,
     };
     for _ in 0..600 {
@@ -170,6 +185,31 @@
     assert_eq!(status(addr, &request("GET", "/elsewhere", b"")), 404);
     // Peers and operators have an address of their own.
     assert_eq!(status(addr, &request("POST", "/peer", b"")), 404);
+    assert_eq!(status(addr, &request("GET", "/level", b"")), 404);
+    assert_eq!(status(addr, &request("GET", "/admin/upgrade", b"")), 404);
+    let internal = running.internal;
+    assert_eq!(status(internal, &request("GET", "/level", b"")), 200);
+    for body in [&b"{}"[..], b"[]", br#"{"without":"n-0","why":1}"#] {
+        let post = request("POST", "/admin/upgrade", body);
+        assert_eq!(status(internal, &post), 400);
+    }
+    let post = request("POST", "/admin/upgrade", br#"{"without":"n-0"}"#);
+    assert_eq!(status(internal, &post), 503);
+    assert_eq!(
+        status(internal, &request("DELETE", "/admin/upgrade", b"")),
+        405
+    );
+    let asked = [(internal, 1, "refuses"), (free_addr(), 4, "reached")];
+    for (at, code, word) in asked {
+        let at = at.to_string();
+        let output = Command::new(PROGRAM)
+            .args(["admin", "upgrade", "--at", &at])
+            .output()
+            .expect("it runs");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{error}");
+        assert!(error.contains(word), "{error}");
+    }
     // Larger than allowed: refused without being read.
     let head = b"POST /work HTTP/1.1\r\nhost: x\r\ncontent-length: 100000000\r\n\r\nabc";
     assert_eq!(status(addr, head), 400);
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -74,6 +74,20 @@
         /// How long after it the next one is.
         every: Duration,
     },
+    /// A controller dies and never comes back.
+    Gone {
+        /// Which.
+        node: usize,
+        /// When.
+        at: Duration,
+    },
+    /// An operator tells a controller that another never comes back.
+    WriteOff {
+        /// Which one never does.
+        node: usize,
+        /// When.
+        at: Duration,
+    },
     /// The state service lowers its limits to those that the settings announce.
     Lower {
         /// When.
@@ -115,6 +129,8 @@
             | Self::Taken { .. }
             | Self::Sick { .. }
             | Self::Roll { .. }
+            | Self::Gone { .. }
+            | Self::WriteOff { .. }
             | Self::Lower { .. } => None,
         }
     }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -143,6 +143,8 @@
     ReportAnswer(u64, String, u16, Vec<u8>),
     Crash(usize),
     Upgrade(usize),
+    Gone(usize),
+    WriteOff(usize),
     Lower,
     Taken,
     Sick(usize),
@@ -321,6 +323,8 @@
                     }
                 }
                 Fault::Lower { at } => world.at(at, Event::Lower),
+                Fault::Gone { node, at } => world.at(at, Event::Gone(node)),
+                Fault::WriteOff { node, at } => world.at(at, Event::WriteOff(node)),
                 Fault::Outage { until, .. } => world.at(until, Event::RefreshLeases),
                 _ => {}
             }
@@ -403,6 +407,11 @@
                     self.crash(node);
                 }
             }
+            Event::Gone(node) => {
+                self.crash(node);
+                self.nodes[node].back_at = Duration::MAX;
+            }
+            Event::WriteOff(node) => self.write_off(node),
             Event::Lower => self.state.limit(self.limits[1]),
             Event::Taken => {
                 let spot = |w: &&Worker| w.site.spot;
@@ -431,6 +440,18 @@
         self.watches.retain(|w| w.0 != node);
     }
 
+    /// An operator's request to another controller; nobody reads the answer.
+    fn write_off(&mut self, node: usize) {
+        let request = Request {
+            conn: self.id(),
+            side: Side::Internal,
+            method: Method::Post,
+            path: "/admin/upgrade".into(),
+            body: format!(r#"{{"without":"n-{node}"}}"#).into_bytes(),
+        };
+        self.input((node + 1) % NODES, Input::Request(request));
+    }
+
     fn start(&mut self, node: usize) {
         let seed = self.rng.u64(..);
         let n = &mut self.nodes[node];
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -170,6 +170,36 @@
     }
 }
 
+/// A controller that dies in the roll and never comes back holds the new forms
+/// up until an operator says so; one that is up can't be written off.
+#[test]
+fn a_controller_that_never_comes_back() {
+    let faults = |write_off: usize| {
+        vec![
+            Fault::Roll {
+                first: 0,
+                at: S * 20,
+                every: S * 8,
+            },
+            Fault::Gone {
+                node: 2,
+                at: S * 30,
+            },
+            Fault::WriteOff {
+                node: write_off,
+                at: S * 60,
+            },
+        ]
+    };
+    let all = roll(70, faults(2), None);
+    assert_eq!((all.broken, all.open), (vec![], vec![]));
+    let held_up = roll(70, faults(0), None);
+    assert_eq!(held_up.broken, []);
+    // Pipelines are not accepted; what else was submitted is done.
+    assert_eq!(held_up.open, []);
+    assert!(held_up.accepted + 12 < all.accepted);
+}
+
 /// Hundreds of machines, whose lists are larger than the lower limits allow.
 #[test]
 fn a_grown_roll() {
