--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -39,7 +39,7 @@
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
 /// The least time between two hand-outs of a job that nobody looks at: each
 /// is a write, and holds up those that record what is done.
-const HANDOUT_GAP: Duration = Duration::from_millis(250);
+const HANDOUT_GAP: Duration = Duration::from_millis(500);
 /// How long a task that was asked to make room is expected to do so.
 const ASKED: Duration = Duration::from_secs(8);
 /// How often a plan may look through all machines for work to stop.
