--- a/crates/core/src/recorder.rs
+++ b/crates/core/src/recorder.rs
@@ -18,7 +18,7 @@
 /// How long news is gathered before it is written.
 const GATHER: Duration = Duration::from_millis(60);
 /// How long what is not pressing is gathered, and when it presses all the same.
-const GATHER_MORE: Duration = Duration::from_millis(600);
+const GATHER_MORE: Duration = Duration::from_millis(2500);
 const PATIENCE: Duration = Duration::from_secs(25);
 /// How long to wait after a write that got no answer.
 const RETRY: Duration = Duration::from_millis(400);
