--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,53 @@
+//! `cargo xtask`: what goes with working on oliveshift and is no part of it.
+
+mod aims;
+mod journal;
+mod plots;
+mod regress;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::{Parser, Subcommand};
+
+/// Tools for those who work on oliveshift.
+#[derive(Debug, Parser)]
+#[command(name = "cargo xtask", about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Plays the operators' sites and compares their scores with the references.
+    ///
+    /// Ends with 0 if all is well, with 1 on a broken rule, a failed day or a
+    /// fall of more than 0.03, and with 2 if the bench or a site is missing.
+    Regress(regress::Options),
+    /// Sums up the journal: which aims are worth least, by site and day.
+    Aims(aims::Options),
+}
+
+/// The root of the repository, wherever the command is started in it.
+fn root() -> PathBuf {
+    let here = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    here.ancestors().nth(2).map(PathBuf::from).unwrap_or(here)
+}
+
+fn main() -> ExitCode {
+    let root = root();
+    let result = match Cli::parse().command {
+        Command::Regress(options) => regress::run(&root, &options).map_err(|e| e.to_string()),
+        Command::Aims(options) => aims::run(&root, &options)
+            .map(|()| true)
+            .map_err(|e| e.to_string()),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("xtask: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
