--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Args, Parser, Subcommand};
+use oliveshift_core::sockets::Shares;
 use oliveshift_wire::settings::{BadSettings, Settings, StateLimits};
 use thiserror::Error;
 
@@ -78,6 +79,12 @@
             limits(&settings.params.state.lowered())
         );
     }
+    let sockets = Shares::new(settings);
+    println!(
+        "sockets:       {} for users, {} for workers ({} for orders to them), {} for controllers, \
+         {} for state service and cloud",
+        sockets.users, sockets.workers, sockets.orders, sockets.peers, sockets.outside
+    );
     println!("zones:         {}", settings.params.zones.join(", "));
     println!("contact limit: {:.1?}", settings.contact_limit());
     println!("lease limit:   {:.1?}", settings.lease_limit());
--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -59,7 +59,10 @@
 fn bad_settings_end_the_start_with_a_line() {
     let addr = free_addr();
     let good = settings(addr, addr);
-    assert!(check("good", &good).status.success());
+    let output = check("good", &good);
+    assert!(output.status.success());
+    let told = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(told.contains("47 for users"), "{told}");
     let cases = [
         ("json", "{", "settings"),
         ("missing", &good.replace("\"zones\"", "\"zonen\""), "zones"),
