--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -30,7 +30,9 @@
 
 /// The root of the repository, wherever the command is started in it.
 fn root() -> PathBuf {
-    let here = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    // What cargo says now: the folder may have been moved since it was built.
+    let here = std::env::var_os("CARGO_MANIFEST_DIR");
+    let here = here.map_or_else(|| env!("CARGO_MANIFEST_DIR").into(), PathBuf::from);
     here.ancestors().nth(2).map(PathBuf::from).unwrap_or(here)
 }
 
