A machine that is heard again is not waited for

Cause: the pause after direct orders without an answer grows to 8 s now, and its end was waited for although the machine's own report had come meanwhile.

Change: the first message cuts the pause to 1 s, which is what it always was.

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -12,6 +12,7 @@
     call::ConnId,
     controller::Controller,
     machine::Machine,
+    orders::PAUSE,
     records::{BlockId, Term},
     slots::{Bound, Origin, State, Stop, Unlisted},
 };
@@ -215,8 +216,7 @@
         }
         machine.session = report.session;
         machine.seq = report.seq;
-        machine.heard = Some(now);
-        machine.unanswered = 0;
+        machine.is_heard(now, PAUSE);
         machine.expired = false;
         machine.taken_at = report
             .notice_s
