--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -727,19 +727,19 @@
         self.is_on(|f| matches!(f, Fault::Frozen { node, .. } if *node == n))
     }
 
+    /// The lag that some trouble of a kind brings now.
+    fn lag(&self, kind: impl Fn(&Fault) -> Option<Duration>) -> Duration {
+        let lasts = |f: &&Fault| f.span().is_some_and(|span| span.contains(&self.now));
+        let lag = self.faults.iter().filter(lasts).find_map(kind);
+        lag.unwrap_or_default()
+    }
+
     /// By how much a controller's answers to workers are late.
     fn late_answers(&self, n: usize) -> Duration {
-        let now = self.now;
-        let lag = self.faults.iter().find_map(|f| match f {
-            Fault::LateAnswers {
-                node,
-                lag,
-                from,
-                until,
-            } if *node == n && (*from..*until).contains(&now) => Some(*lag),
+        self.lag(|f| match f {
+            Fault::LateAnswers { node, lag, .. } if *node == n => Some(*lag),
             _ => None,
-        });
-        lag.unwrap_or_default()
+        })
     }
 
     fn outage(&self) -> bool {
@@ -794,18 +794,12 @@
     /// When a controller gets to something that came in (0) or that it sends
     /// (1). What came first goes first.
     fn gets_to(&mut self, n: usize, way: usize) -> Duration {
-        let now = self.now;
-        let lag = self.faults.iter().find_map(|f| match f {
-            Fault::Behind {
-                node,
-                lag,
-                from,
-                until,
-            } if *node == n && (*from..*until).contains(&now) => Some(*lag),
+        let lag = self.lag(|f| match f {
+            Fault::Behind { node, lag, .. } if *node == n => Some(*lag),
             _ => None,
         });
         let through = &mut self.nodes[n].through[way];
-        *through = (*through).max(now + lag.unwrap_or_default());
+        *through = (*through).max(self.now + lag);
         *through
     }
 
