--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -12,7 +12,6 @@
     call::ConnId,
     controller::Controller,
     machine::Machine,
-    orders::PAUSE,
     records::{BlockId, Term},
     slots::{Bound, Origin, State, Stop, Unlisted},
 };
@@ -216,7 +215,8 @@
         }
         machine.session = report.session;
         machine.seq = report.seq;
-        machine.is_heard(now, PAUSE);
+        machine.heard = Some(now);
+        machine.unanswered = 0;
         machine.expired = false;
         machine.taken_at = report
             .notice_s
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -19,7 +19,7 @@
 const TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long to wait after direct orders that got no answer; doubled with each
 /// more in a row, so that hundreds of cut machines don't take up our sockets.
-pub(crate) const PAUSE: Duration = Duration::from_millis(1000);
+const PAUSE: Duration = Duration::from_millis(1000);
 const MOST_DOUBLED: u32 = 3;
 /// How long to wait for a socket.
 const CROWDED: Duration = Duration::from_millis(50);
