--- a/crates/xtask/src/aims.rs
+++ b/crates/xtask/src/aims.rs
@@ -61,11 +61,6 @@
     pub reached: String,
 }
 
-/// The name of an aim, without what was reached.
-fn name_of(aim: &str) -> &str {
-    aim.split_once(": ").map_or(aim, |(name, _)| name)
-}
-
 /// All aims of all days, the least worth first.
 pub fn sum_up(entries: &[Entry]) -> Vec<Worth> {
     let mut worths: BTreeMap<(&str, &str, &str), Worth> = BTreeMap::new();
@@ -108,9 +103,7 @@
     let mut sites: BTreeMap<&str, BTreeMap<&str, (f64, f64, usize)>> = BTreeMap::new();
     for worth in worths {
         let site = sites.entry(&worth.site).or_default();
-        let aim = site
-            .entry(name_of(&worth.aim))
-            .or_insert((f64::INFINITY, 0.0, 0));
+        let aim = site.entry(&worth.aim).or_insert((f64::INFINITY, 0.0, 0));
         aim.0 = aim.0.min(worth.least);
         aim.1 += worth.mean * worth.plays as f64;
         aim.2 += worth.plays;
--- a/crates/xtask/src/regress.rs
+++ b/crates/xtask/src/regress.rs
@@ -290,11 +290,11 @@
         Entry::parse("a test's", text).expect("an entry")
     }
 
-    fn score(figure: &str, rules: &str, more: &str) -> Entry {
+    fn score(figure: &str, rules: &str) -> Entry {
         entry(&format!(
             r#"{{"v":1,"id":"0a1b","cmd":"score","argv":["x.toml"],"head":"c0ffee","dirty":false,
             "site":"x","ok":true,"error":null,"score":{figure},"days":[{{"G":0.8,"name":"calm",
-            "rules":{rules},"fault":null,"restarts":1.0,"aims":[["up: 0.9 (aim 1)",0.5]]{more}}}]}}"#
+            "rules":{rules},"fault":null,"restarts":1.0,"aims":[["up: 0.9 (aim 1)",0.5]]}}]}}"#
         ))
     }
 
@@ -309,20 +309,20 @@
     #[test]
     fn a_fall_beyond_scatter_and_a_broken_rule_speak_against_a_landing() {
         let judge = |figure: &str, rules: &str, before: f64| {
-            Row::judge("x", &score(figure, rules, ""), Some(&reference(before))).against
+            Row::judge("x", &score(figure, rules), Some(&reference(before))).against
         };
         assert_eq!(judge("0.70", "{}", 0.73), Vec::<String>::new());
         assert_eq!(judge("0.80", "{}", 0.73), Vec::<String>::new());
         assert_eq!(judge("0.699", "{}", 0.73), ["fell"]);
         assert_eq!(judge("0.8", r#"{"quota":2}"#, 0.7), ["quota (calm)"]);
         assert_eq!(judge("null", "{}", 0.7), ["no score"]);
-        let new = Row::judge("x", &score("0.1", "{}", ""), None);
+        let new = Row::judge("x", &score("0.1", "{}"), None);
         assert!(new.is_good() && new.ended == 1.0, "{new:?}");
-        let mut failed = score("0.8", "{}", "");
+        let mut failed = score("0.8", "{}");
         failed.days[0].figure = Some(0.0);
         let failed = Row::judge("x", &failed, None);
         assert_eq!(failed.against, ["calm failed"]);
-        let mut torn = score("0.8", "{}", "");
+        let mut torn = score("0.8", "{}");
         (torn.ok, torn.error) = (false, Some("the run did not finish".into()));
         let torn = Row::judge("x", &torn, None);
         assert_eq!(torn.against, ["not ended: the run did not finish"]);
@@ -330,8 +330,8 @@
 
     #[test]
     fn the_table_says_what_is_wrong() {
-        let good = Row::judge("x", &score("0.7", "{}", ""), Some(&reference(0.72)));
-        let bad = Row::judge("x", &score("0.6", "{}", ""), Some(&reference(0.72)));
+        let good = Row::judge("x", &score("0.7", "{}"), Some(&reference(0.72)));
+        let bad = Row::judge("x", &score("0.6", "{}"), Some(&reference(0.72)));
         let text = table(&[good, bad]);
         let lines: Vec<_> = text.lines().collect();
         assert_eq!(lines.len(), 3, "{text}");
@@ -345,7 +345,7 @@
             ("x".to_owned(), reference(0.9)),
             ("y".to_owned(), reference(0.5)),
         ]);
-        let full = score("0.7", "{}", "");
+        let full = score("0.7", "{}");
         let new = accept(&old, &[("x".into(), full.clone())]).expect("it is full");
         assert_eq!((new["x"].figure, new["y"].figure), (0.7, 0.5));
         assert_eq!((&*new["x"].journal, &*new["x"].commit), ("0a1b", "c0ffee"));
@@ -359,7 +359,7 @@
             dirty: true,
             ..full.clone()
         };
-        let broken = score("0.7", r#"{"ran_twice":1}"#, "");
+        let broken = score("0.7", r#"{"ran_twice":1}"#);
         for bad in [quick, dirty, broken] {
             assert!(accept(&old, &[("x".into(), bad)]).is_err());
         }
