--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -130,6 +130,8 @@
             Ok(report) => report,
             Err(e) => return self.refuse(conn, 400, &e.to_string()),
         };
+        let close = self.sockets.is_worker(self.now, conn, &report.machine);
+        self.close(close);
         self.known_report(conn, report);
     }
 
@@ -214,6 +216,7 @@
         machine.session = report.session;
         machine.seq = report.seq;
         machine.heard = Some(now);
+        machine.unanswered = 0;
         machine.expired = false;
         machine.taken_at = report
             .notice_s
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::sockets::{Close, SocketId};
+
 /// Names a request that the controller made.
 pub type CallId = u64;
 /// Names a request that the controller has to answer.
@@ -82,6 +84,8 @@
 pub struct Request {
     /// Names it; the answer carries it.
     pub conn: ConnId,
+    /// The connection that it came in on, if that was told of.
+    pub socket: SocketId,
     /// Where it came in.
     pub side: Side,
     /// The method.
@@ -112,6 +116,8 @@
     Call(Call),
     /// Answer one.
     Answer(Answer),
+    /// Close connections.
+    Close(Close),
     /// End the program with this line.
     End(String),
 }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -29,6 +29,7 @@
     records::{BlockId, Key, Level},
     seen::Own,
     slots::Slot,
+    sockets::{Close, Lane, SocketId, Sockets},
     store::{Outcome, Purpose, Store},
     tuning::Tuning,
     upgrade::Upgrade,
@@ -49,6 +50,12 @@
 pub enum Input {
     /// Time has passed; expected every few dozen milliseconds.
     Tick,
+    /// A connection came in at an address of ours.
+    Opened(SocketId, Side),
+    /// A connection that came in has ended.
+    Closed(SocketId),
+    /// So many connections of ours are open without a use, by [`Lane`].
+    Kept([usize; 3]),
     /// A request came in.
     Request(Request),
     /// Something came of a request that the controller made.
@@ -74,6 +81,9 @@
     SwitchEarly,
     /// The lower limits to come are not kept to.
     NoLowering,
+    /// All that comes in shares one allowance, and what is beyond it is turned
+    /// away.
+    NoShares,
 }
 
 /// A request that the controller made and has no reply to yet.
@@ -95,11 +105,27 @@
         machine: String,
         starts: Vec<(TaskId, u64)>,
         term: u64,
+        /// The worker has not answered lately.
+        doubtful: bool,
     },
     Peer(String, u64),
     Level(String),
 }
 
+impl Pending {
+    fn lane(&self) -> Lane {
+        match self {
+            Self::Orders { .. } => Lane::Orders,
+            Self::Peer(..) | Self::Level(_) => Lane::Peers,
+            _ => Lane::Outside,
+        }
+    }
+
+    fn is_doubtful(&self) -> bool {
+        matches!(self, Self::Orders { doubtful: true, .. })
+    }
+}
+
 /// One controller.
 #[derive(Debug)]
 pub struct Controller {
@@ -109,6 +135,7 @@
     /// The newest form of records that this program knows.
     pub(crate) program: Level,
     pub(crate) upgrade: Upgrade,
+    pub(crate) sockets: Sockets,
     pub(crate) tuning: Tuning,
     pub(crate) incarnation: u64,
     pub(crate) rng: fastrand::Rng,
@@ -162,6 +189,7 @@
             incarnation: rng.u64(1..1 << 53),
             store: Store::new(&settings),
             fleet: Fleet::new(&settings),
+            sockets: Sockets::new(&settings),
             lowered: settings.params.state.lowered(),
             program: Level::OWN,
             upgrade: Upgrade::default(),
@@ -210,12 +238,38 @@
         self.now = self.now.max(now.steady);
         self.day = now.day;
         match input {
+            // Connections change nothing of what there is to decide.
+            #[cfg(feature = "sabotage")]
+            Input::Opened(id, _)
+                if self.sabotage == Some(Sabotage::NoShares)
+                    && self.sockets.open() >= self.settings.params.limits.max_sockets * 3 / 4 =>
+            {
+                return vec![Output::Close(Close::Came(id))];
+            }
+            Input::Opened(id, side) => {
+                let close = self.sockets.opened(self.now, id, side);
+                return close.into_iter().map(Output::Close).collect();
+            }
+            Input::Closed(id) => {
+                self.sockets.ended(id);
+                return Vec::new();
+            }
+            Input::Kept(kept) => {
+                self.sockets.kept(kept);
+                return Vec::new();
+            }
             Input::Tick => self.tick(),
             Input::Request(request) => self.request(request),
             Input::Reply(call, reply) => self.reply(call, reply),
         }
         self.settle();
-        std::mem::take(&mut self.out)
+        let out = std::mem::take(&mut self.out);
+        for output in &out {
+            if let Output::Answer(answer) = output {
+                self.sockets.answered(self.now, answer.conn);
+            }
+        }
+        out
     }
 
     /// This controller's name.
@@ -224,6 +278,8 @@
     }
 
     fn tick(&mut self) {
+        let close = self.sockets.tick(self.now);
+        self.close(close);
         self.store_tick();
         self.admission_tick();
         self.blocks_tick();
@@ -244,11 +300,13 @@
     fn request(&mut self, request: Request) {
         let Request {
             conn,
+            socket,
             side,
             method,
             path,
             body,
         } = request;
+        self.sockets.asked(self.now, socket, conn);
         let mut parts = path.trim_start_matches('/').split('/');
         let route = (parts.next(), parts.next(), parts.next(), parts.next());
         match (side, route, method) {
@@ -294,6 +352,7 @@
         let Some((pending, sent)) = self.calls.remove(&call) else {
             return;
         };
+        self.sockets.called(pending.lane(), pending.is_doubtful());
         match pending {
             Pending::NewHold => self.hold_granted(&reply, sent),
             Pending::TouchHold => self.hold_touched(&reply, sent),
@@ -309,6 +368,7 @@
                 machine,
                 starts,
                 term,
+                ..
             } => self.orders_done(&machine, &starts, term, &reply),
             Pending::Peer(peer, version) => self.told(&peer, version, &reply),
             Pending::Level(node) => self.level_told(&node, &reply),
@@ -363,6 +423,10 @@
     ) -> CallId {
         self.next_call += 1;
         let id = self.next_call;
+        let close = self
+            .sockets
+            .calls(self.now, pending.lane(), pending.is_doubtful());
+        self.close(close);
         self.calls.insert(id, (pending, self.now));
         self.out.push(Output::Call(Call {
             id,
@@ -375,6 +439,10 @@
         id
     }
 
+    pub(crate) fn close(&mut self, close: Vec<Close>) {
+        self.out.extend(close.into_iter().map(Output::Close));
+    }
+
     pub(crate) fn answer(&mut self, conn: ConnId, status: u16, body: Vec<u8>) {
         self.out.push(Output::Answer(Answer {
             conn,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod rooms;
 mod seen;
 mod slots;
+pub mod sockets;
 mod store;
 mod tuning;
 mod upgrade;
@@ -32,3 +33,4 @@
 #[cfg(feature = "sabotage")]
 pub use controller::Sabotage;
 pub use controller::{Controller, Input, Now};
+pub use sockets::{Close, SocketId};
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -46,6 +46,8 @@
     pub tainted: HashSet<(TaskId, u64)>,
     /// No direct orders before.
     pub order_at: Duration,
+    /// Direct orders in a row that got no answer.
+    pub unanswered: u32,
     /// Since when it has had no task.
     pub idle_since: Option<Duration>,
     /// Failures of tasks in a row, and of how many jobs.
@@ -77,6 +79,7 @@
             in_flight: Vec::new(),
             tainted: HashSet::new(),
             order_at: Duration::ZERO,
+            unanswered: 0,
             idle_since: Some(now),
             errors: 0,
             error_at: Duration::ZERO,
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -17,8 +17,10 @@
 
 /// When to give direct orders up.
 const TIMEOUT: Duration = Duration::from_millis(1500);
-/// How long to wait after direct orders that got no answer.
+/// How long to wait after direct orders that got no answer; doubled with each
+/// more in a row, so that hundreds of cut machines don't take up our sockets.
 const PAUSE: Duration = Duration::from_millis(1000);
+const MOST_DOUBLED: u32 = 3;
 
 impl Controller {
     /// The orders that go with the answer to the report numbered `seq`: all
@@ -136,6 +138,11 @@
                 self.to_order.insert(name);
                 continue;
             }
+            let doubtful = machine.unanswered > 0;
+            if !self.sockets.may_order(doubtful) {
+                self.to_order.insert(name);
+                continue;
+            }
             let probe = !machine.settled();
             let (token, session) = (machine.term, machine.session);
             let addr = machine.record.addr.clone();
@@ -174,6 +181,7 @@
                 machine: name,
                 starts,
                 term: token,
+                doubtful,
             };
             self.call(
                 Target::Worker(addr),
@@ -193,7 +201,6 @@
         term: Term,
         reply: &Reply,
     ) {
-        let pause = self.now + PAUSE;
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
@@ -202,6 +209,12 @@
         }
         machine.ordering = false;
         machine.in_flight.clear();
+        let answered = matches!(reply, Reply::Answer { .. });
+        if !answered {
+            machine.unanswered = machine.unanswered.saturating_add(1);
+        }
+        let doubled = machine.unanswered.saturating_sub(1).min(MOST_DOUBLED);
+        let pause = self.now + PAUSE * 2u32.pow(doubled);
         match reply {
             Reply::Answer { status, body } if matches!(status, 200 | 409) => {
                 let executed = *status == 200;
--- a/crates/core/src/upgrade.rs
+++ b/crates/core/src/upgrade.rs
@@ -60,7 +60,7 @@
 
 impl Controller {
     /// The form in which we write.
-    pub(crate) fn level(&self) -> Level {
+    pub fn level(&self) -> Level {
         #[cfg(feature = "sabotage")]
         if self.sabotage == Some(crate::Sabotage::SwitchEarly) {
             return self.program;
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -1,7 +1,7 @@
 //! Requests that we make, over connections kept open.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::{SocketAddr, TcpStream},
     time::{Duration, Instant},
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt};
 use http_types::{Method as HttpMethod, Request, Url, headers::CONNECTION};
-use oliveshift_core::{Call, Method, Reply};
+use oliveshift_core::{Call, Method, Reply, sockets::Lane};
 
 use crate::stream::Stream;
 
@@ -19,10 +19,19 @@
 /// Most idle connections to one address.
 const KEEP_MOST: usize = 6;
 
-/// Connections not in use, by address.
+/// A connection not in use.
+#[derive(Debug)]
+struct Idle {
+    stream: Stream,
+    lane: Lane,
+    since: Instant,
+}
+
+/// Connections not in use, by address, the longest unused first.
 #[derive(Debug, Default)]
 pub struct Client {
-    idle: RefCell<HashMap<SocketAddr, Vec<(Stream, Instant)>>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    kept: Cell<[usize; 3]>,
 }
 
 impl Client {
@@ -49,7 +58,7 @@
         };
         let (reply, keep) = exchange.or(late).await;
         if keep {
-            self.put(addr, stream);
+            self.put(addr, Lane::of(&call.to), stream);
         }
         reply
     }
@@ -66,26 +75,68 @@
     fn take(&self, addr: SocketAddr) -> Option<Stream> {
         let mut idle = self.idle.borrow_mut();
         let streams = idle.get_mut(&addr)?;
-        while let Some((stream, _)) = streams.pop() {
-            if stream.is_idle() {
-                return Some(stream);
+        while let Some(idle) = streams.pop() {
+            self.count(idle.lane, |kept| kept - 1);
+            if idle.stream.is_idle() {
+                return Some(idle.stream);
             }
         }
         None
     }
 
-    fn put(&self, addr: SocketAddr, stream: Stream) {
+    fn put(&self, addr: SocketAddr, lane: Lane, stream: Stream) {
         let mut idle = self.idle.borrow_mut();
         let streams = idle.entry(addr).or_default();
         if streams.len() < KEEP_MOST {
-            streams.push((stream, Instant::now()));
+            let since = Instant::now();
+            streams.push(Idle {
+                stream,
+                lane,
+                since,
+            });
+            self.count(lane, |kept| kept + 1);
         }
     }
 
+    fn count(&self, lane: Lane, change: impl Fn(usize) -> usize) {
+        let mut kept = self.kept.get();
+        kept[lane as usize] = change(kept[lane as usize]);
+        self.kept.set(kept);
+    }
+
+    /// How many connections are kept, by lane.
+    pub fn kept(&self) -> [usize; 3] {
+        self.kept.get()
+    }
+
     /// Closes connections that have not been used for a while.
     pub fn prune(&self) {
+        self.retain(|idle| idle.since.elapsed() < KEEP);
+    }
+
+    /// Closes the longest unused connections of a lane.
+    pub fn close(&self, lane: Lane, count: usize) {
+        let mut since: Vec<_> = {
+            let idle = self.idle.borrow();
+            let of_lane = idle.values().flatten().filter(|i| i.lane == lane);
+            of_lane.map(|i| i.since).collect()
+        };
+        since.sort();
+        let Some(last) = since.get(count.min(since.len()).wrapping_sub(1)) else {
+            return;
+        };
+        self.retain(|idle| idle.lane != lane || idle.since > *last);
+    }
+
+    fn retain(&self, keep: impl Fn(&Idle) -> bool) {
         self.idle.borrow_mut().retain(|_, streams| {
-            streams.retain(|(_, since)| since.elapsed() < KEEP);
+            streams.retain(|idle| {
+                let keep = keep(idle);
+                if !keep {
+                    self.count(idle.lane, |kept| kept - 1);
+                }
+                keep
+            });
             !streams.is_empty()
         });
     }
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -10,10 +10,11 @@
 };
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer, block_on};
 use oliveshift_core::{
-    Answer, Call, ConnId, Controller, Input, Method, Now, Output, Reply, Request, Side, Target,
+    Answer, Call, Close, ConnId, Controller, Input, Method, Now, Output, Reply, Request, Side,
+    SocketId, Target,
 };
 use oliveshift_wire::settings::Settings;
 
@@ -34,9 +35,12 @@
     started: Instant,
     waiting: RefCell<HashMap<ConnId, Sender<Answer>>>,
     next_conn: Cell<ConnId>,
-    connections: Cell<usize>,
+    /// What serves each connection that came in; dropped, it closes.
+    serving: RefCell<HashMap<SocketId, Task<()>>>,
+    next_socket: Cell<u64>,
+    /// What the state machine knows of the connections that we keep.
+    kept: Cell<[usize; 3]>,
     ended: Cell<bool>,
-    max_connections: usize,
     peers: HashMap<String, SocketAddr>,
     state: SocketAddr,
     cloud: SocketAddr,
@@ -55,10 +59,10 @@
         started: Instant::now(),
         waiting: RefCell::default(),
         next_conn: Cell::new(0),
-        connections: Cell::new(0),
+        serving: RefCell::default(),
+        next_socket: Cell::new(1),
+        kept: Cell::new([0; 3]),
         ended: Cell::new(false),
-        // The rest is for connections of our own.
-        max_connections: settings.params.limits.max_sockets * 3 / 4,
         peers: peers.map(|p| (p.node.clone(), p.addr.into())).collect(),
         state: services.state.into(),
         cloud: services.cloud.into(),
@@ -102,6 +106,11 @@
 
     /// Gives the state machine an input and does what it says.
     fn input(self: &Rc<Self>, input: Input) {
+        let kept = self.client.kept();
+        if self.kept.replace(kept) != kept {
+            let input = Input::Kept(kept);
+            self.controller.borrow_mut().handle(self.now(), input);
+        }
         let outputs = self.controller.borrow_mut().handle(self.now(), input);
         for output in outputs {
             match output {
@@ -115,6 +124,10 @@
                     let runtime = self.clone();
                     self.executor.spawn(runtime.make(call)).detach();
                 }
+                Output::Close(Close::Came(id)) => {
+                    self.serving.borrow_mut().remove(&id);
+                }
+                Output::Close(Close::Kept(lane, count)) => self.client.close(lane, count),
                 Output::End(why) => {
                     log::error!("{why}");
                     self.ended.set(true);
@@ -140,6 +153,7 @@
     /// Puts a request to the state machine and waits for its answer.
     pub async fn request(
         self: &Rc<Self>,
+        socket: SocketId,
         side: Side,
         method: Method,
         path: String,
@@ -151,6 +165,7 @@
         self.waiting.borrow_mut().insert(conn, send);
         self.input(Input::Request(Request {
             conn,
+            socket,
             side,
             method,
             path,
@@ -177,21 +192,18 @@
         loop {
             match listener.accept().await {
                 Ok((tcp, _)) => {
-                    let most = match side {
-                        Side::Public => self.max_connections,
-                        // Peers must get through when users crowd us.
-                        Side::Internal => self.max_connections + 16,
-                    };
-                    if self.connections.get() >= most {
-                        continue;
-                    }
-                    self.connections.set(self.connections.get() + 1);
+                    let id = SocketId(self.next_socket.get());
+                    self.next_socket.set(id.0 + 1);
                     let runtime = self.clone();
                     let serve = async move {
-                        server::serve(runtime.clone(), tcp, side).await;
-                        runtime.connections.set(runtime.connections.get() - 1);
+                        server::serve(runtime.clone(), id, tcp, side).await;
+                        // It is at its end, so there is nothing to cancel.
+                        runtime.serving.borrow_mut().remove(&id);
+                        runtime.input(Input::Closed(id));
                     };
-                    self.executor.spawn(serve).detach();
+                    let serve = self.executor.spawn(serve);
+                    self.serving.borrow_mut().insert(id, serve);
+                    self.input(Input::Opened(id, side));
                 }
                 Err(e) => {
                     log::error!("connections can not be accepted: {e}");
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -6,13 +6,11 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt};
 use http_types::{Method as HttpMethod, Request as HttpRequest, Response, StatusCode, headers};
-use oliveshift_core::{Method, Side};
+use oliveshift_core::{Method, Side, SocketId};
 use oliveshift_wire::{codec::MAX_BODY, encode, job::Refusal};
 
 use crate::{runtime::Runtime, stream::Stream};
 
-/// For how long a connection may be idle or take over one request.
-const PATIENCE: Duration = Duration::from_secs(25);
 /// For how long a body may take to arrive.
 const BODY_PATIENCE: Duration = Duration::from_secs(4);
 /// What headers may take.
@@ -20,21 +18,17 @@
 /// How long the other side gets to read a last answer before we close.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// Serves one connection until it ends.
-pub async fn serve(runtime: Rc<Runtime>, tcp: Async<TcpStream>, side: Side) {
+/// Serves one connection until it ends. How long it may be idle or take over
+/// one request is decided where the sockets are counted: then this is dropped.
+pub async fn serve(runtime: Rc<Runtime>, id: SocketId, tcp: Async<TcpStream>, side: Side) {
     let stream = Stream::new(tcp);
-    let endpoint = |request| answer(&runtime, &stream, request, side);
+    let endpoint = |request| answer(&runtime, id, &stream, request, side);
     let mut server = Server::new(stream.clone(), endpoint);
     loop {
         stream.allow(MAX_HEAD + MAX_BODY);
-        let one = async { server.accept_one().await.ok() };
-        let late = async {
-            Timer::after(PATIENCE).await;
-            None
-        };
-        match one.or(late).await {
-            Some(ConnectionStatus::KeepAlive) => {}
-            Some(ConnectionStatus::Close) | None => break,
+        match server.accept_one().await {
+            Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::Close) | Err(_) => break,
         }
     }
     // A close with bytes unread would reset the connection, and the answer
@@ -55,6 +49,7 @@
 
 async fn answer(
     runtime: &Rc<Runtime>,
+    id: SocketId,
     stream: &Stream,
     mut request: HttpRequest,
     side: Side,
@@ -89,7 +84,7 @@
     } else {
         "application/msgpack"
     };
-    let answer = runtime.request(side, method, path, body).await;
+    let answer = runtime.request(id, side, method, path, body).await;
     let Some(answer) = answer else {
         return Ok(refusal(StatusCode::ServiceUnavailable, "no answer"));
     };
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -100,6 +100,26 @@
         /// Until when.
         until: Duration,
     },
+    /// A controller stands still while its clocks run on: what is sent to it
+    /// waits, connections included.
+    Frozen {
+        /// Which.
+        node: usize,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
+    /// Connections come in at all controllers of which nothing is heard ever
+    /// again, as of machines whose network holds what they send.
+    Silent {
+        /// How many a second at each.
+        rate: u32,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// The cloud takes spot machines, without notice.
     Taken {
         /// When.
@@ -123,6 +143,8 @@
             | Self::Outage { from, until }
             | Self::CloudOutage { from, until }
             | Self::CutWorkers { from, until, .. }
+            | Self::Frozen { from, until, .. }
+            | Self::Silent { from, until, .. }
             | Self::LostAnswers { from, until }
             | Self::PeersRefuse { from, until } => Some(from..until),
             Self::Crash { .. }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cloud;
 pub mod faults;
 pub mod model;
+pub mod net;
 pub mod rules;
 pub mod state;
 pub mod worker;
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -411,3 +411,73 @@
 fn ignoring_the_limits_to_come_is_caught() {
     is_caught_in_a_roll(Sabotage::NoLowering, |outcome| outcome.refused_writes.0 > 0);
 }
+
+/// Machines whose network holds what they send, a controller cut from its
+/// workers, then one that stands still: what nobody is at the other end of any
+/// more took up all sockets, and users and the load balancer were turned away.
+fn crowd(sabotage: Option<Sabotage>) -> Outcome {
+    let cut = |node, rest, from, until| Fault::CutWorkers {
+        node,
+        rest,
+        from: S * from,
+        until: S * until,
+    };
+    let faults = vec![
+        Fault::Silent {
+            rate: 40,
+            from: S * 50,
+            until: S * 150,
+        },
+        cut(None, Some(0), 60, 90),
+        cut(Some(1), None, 95, 125),
+        Fault::Frozen {
+            node: 2,
+            from: S * 128,
+            until: S * 136,
+        },
+    ];
+    let size = Size {
+        sockets: 450,
+        ..Size::GROWN
+    };
+    World::sized(size, 44, S * 100, faults, sabotage).run(S * 400)
+}
+
+#[test]
+fn sockets_are_left_for_users() {
+    let outcome = crowd(None);
+    assert_eq!((outcome.broken, outcome.open), (vec![], vec![]));
+    let sockets = outcome.sockets;
+    assert!((430..=450).contains(&sockets.peak), "{sockets:?}");
+    assert!(sockets.asked > 2000, "{sockets:?}");
+    let cut = (sockets.refused, sockets.users_cut, sockets.probes_cut);
+    assert_eq!(cut, (0, 0, 0), "{sockets:?}");
+}
+
+#[test]
+fn one_allowance_for_all_is_caught() {
+    let sockets = crowd(Some(Sabotage::NoShares)).sockets;
+    assert!(sockets.users_cut > 50, "{sockets:?}");
+    assert!(sockets.probes_cut > 50, "{sockets:?}");
+}
+
+/// A controller that stands still hears afterwards what was given up meanwhile.
+#[test]
+fn controllers_that_stand_still() {
+    for seed in 60..66 {
+        let frozen = |node, at, seconds| Fault::Frozen {
+            node,
+            from: S * at,
+            until: S * (at + seconds),
+        };
+        let node = seed as usize % 3;
+        let crash = Fault::Crash {
+            node: (node + 1) % 3,
+            at: S * 92,
+        };
+        good(
+            seed,
+            vec![frozen(node, 40, 18), frozen(node, 90, 34), crash],
+        );
+    }
+}
