--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -13,7 +13,7 @@
     controller::Controller,
     machine::Machine,
     records::{BlockId, Term},
-    slots::{Bound, State, Stop},
+    slots::{Bound, Origin, State, Stop, Unlisted},
 };
 
 /// How long a task that failed waits before it is tried again; doubled with
@@ -158,7 +158,7 @@
         }
         let name = report.machine.clone();
         let (session, seq) = (report.session, report.seq);
-        let newest = self.take_report(report);
+        let newest = self.take_report(report, Origin::Report);
         let expired = self.machines.get(&name).is_none_or(|m| m.expired);
         if expired || !newest {
             // Stale: an answer would renew a lease that we count as over, or
@@ -192,7 +192,7 @@
 
     /// Takes in what a worker says, whichever way it came. False if something
     /// newer is known already.
-    pub(crate) fn take_report(&mut self, report: Report) -> bool {
+    pub(crate) fn take_report(&mut self, report: Report, origin: Origin) -> bool {
         let now = self.now;
         let name = report.machine;
         let Some(machine) = self.machines.get_mut(&name) else {
@@ -251,7 +251,7 @@
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.tasks = report.tasks;
         }
-        self.settle_unlisted(&name, report.seq);
+        self.settle_unlisted(&name, report.seq, origin);
         if proven {
             let block = self.machines.get(&name).map(|m| m.block);
             if let Some(block) = block {
@@ -395,7 +395,7 @@
 
     /// Bound tasks that the newest message of their machine does not list and
     /// whose start can no longer arrive are not there.
-    fn settle_unlisted(&mut self, name: &str, seq: u64) {
+    fn settle_unlisted(&mut self, name: &str, seq: u64, origin: Origin) {
         let Some(machine) = self.machines.get(name) else {
             return;
         };
@@ -409,17 +409,13 @@
             let Some(bound) = self.slots.get(task).and_then(|s| s.bound()) else {
                 continue;
             };
-            let Some(sent) = bound.sent else { continue };
-            if listed(task, bound.attempt)
-                || seq <= sent
-                || machine.may_start_late(task, bound.attempt)
-            {
+            if listed(task, bound.attempt) || machine.may_start_late(task, bound.attempt) {
                 continue;
             }
-            if bound.seen || bound.stop.is_some() {
-                gone.push(task.clone());
-            } else {
-                again = true;
+            match bound.unlisted(seq, origin) {
+                Unlisted::Unknown => {}
+                Unlisted::Again => again = true,
+                Unlisted::Gone => gone.push(task.clone()),
             }
         }
         for task in gone {
@@ -495,7 +491,9 @@
             .filter(|(_, m)| !m.settled() && now >= m.order_at)
             .map(|(name, _)| name.clone())
             .collect();
-        self.to_order.extend(probe);
+        for name in probe {
+            self.to_order.insert(name);
+        }
     }
 
     /// A worker's lease has run out without a renewal: its tasks are gone.
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -21,7 +21,9 @@
     blocks::Held,
     call::{Answer, Call, CallId, ConnId, Method, Output, Reply, Request, Side, Target},
     cloud::CloudCall,
+    due::Due,
     fleet::Fleet,
+    futile::Futile,
     leader::Leader,
     machine::Machine,
     peers::{Link, PeerState},
@@ -154,12 +156,14 @@
     pub(crate) slots: BTreeMap<TaskId, Slot>,
     /// Tasks of held blocks that have no machine.
     pub(crate) unplaced: BTreeSet<TaskId>,
+    /// Which of them would find no room.
+    pub(crate) futile: Futile,
     /// Chunks with news to record.
     pub(crate) dirty: BTreeMap<(JobId, u32), News>,
     /// Chunks with a write under way.
     pub(crate) busy: HashMap<(JobId, u32), Busy>,
     /// Machines for which orders are ready.
-    pub(crate) to_order: BTreeSet<String>,
+    pub(crate) to_order: Due,
     pub(crate) attempts: u64,
     pub(crate) peers: BTreeMap<String, PeerState>,
     /// What we have told the peers.
@@ -208,9 +212,10 @@
             machines: BTreeMap::new(),
             slots: BTreeMap::new(),
             unplaced: BTreeSet::new(),
+            futile: Futile::default(),
             dirty: BTreeMap::new(),
             busy: HashMap::new(),
-            to_order: BTreeSet::new(),
+            to_order: Due::default(),
             attempts: 0,
             peers: BTreeMap::new(),
             links,
@@ -292,6 +297,10 @@
         self.place();
         self.record();
         self.refresh_own();
+        if self.futile.take_changed() {
+            self.place();
+            self.refresh_own();
+        }
         self.hand_out();
         self.send_orders();
         self.gossip();
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -12,7 +12,7 @@
     controller::{Controller, Pending},
     machine::Machine,
     records::Term,
-    slots::State,
+    slots::{Origin, State},
 };
 
 /// When to give direct orders up.
@@ -21,6 +21,8 @@
 /// more in a row, so that hundreds of cut machines don't take up our sockets.
 const PAUSE: Duration = Duration::from_millis(1000);
 const MOST_DOUBLED: u32 = 3;
+/// How long to wait for a socket.
+const CROWDED: Duration = Duration::from_millis(50);
 
 impl Controller {
     /// The orders that go with the answer to the report numbered `seq`: all
@@ -126,21 +128,25 @@
 
     /// Sends what can't wait for the next report.
     pub(crate) fn send_orders(&mut self) {
-        if self.to_order.is_empty() || !self.may_act() {
+        if !self.may_act() {
             return;
         }
         let now = self.now;
-        for name in std::mem::take(&mut self.to_order) {
+        for name in self.to_order.take(now) {
             let Some(machine) = self.machines.get(&name) else {
                 continue;
             };
-            if machine.ordering || now < machine.order_at {
-                self.to_order.insert(name);
+            if machine.ordering {
+                // The reply to what is under way brings it here again.
+                continue;
+            }
+            if now < machine.order_at {
+                self.to_order.insert_at(machine.order_at, name);
                 continue;
             }
             let doubtful = machine.unanswered > 0;
             if !self.sockets.may_order(doubtful) {
-                self.to_order.insert(name);
+                self.to_order.insert_at(now + CROWDED, name);
                 continue;
             }
             let probe = !machine.settled();
@@ -209,6 +215,7 @@
         }
         machine.ordering = false;
         machine.in_flight.clear();
+        self.to_order.insert(name.to_owned());
         let answered = matches!(reply, Reply::Answer { .. });
         if !answered {
             machine.unanswered = machine.unanswered.saturating_add(1);
@@ -230,7 +237,7 @@
                     return;
                 }
                 let was = machine.session;
-                self.take_report(report);
+                self.take_report(report, Origin::Orders);
                 if !executed {
                     self.unsent(name, starts);
                     let same = |m: &Machine| m.session == was;
@@ -242,7 +249,6 @@
                         machine.order_at = Duration::ZERO;
                     }
                 }
-                self.to_order.insert(name.to_owned());
             }
             Reply::Answer { status: 400, .. } | Reply::NotSent => {
                 machine.order_at = pause;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -50,8 +50,16 @@
         let Some(slot) = self.slots.get(task) else {
             return;
         };
-        let chosen = self.choose(slot);
-        let Some((name, session, term)) = chosen else {
+        let (block, job) = (slot.block, &task.job);
+        // One that failed somewhere is not like the others of its job.
+        let alike = slot.avoid.is_empty();
+        if alike && self.futile.is_known(self.now, block, job) {
+            return;
+        }
+        let Some((name, session, term)) = self.choose(slot) else {
+            if alike {
+                self.futile.note(self.now, block, job);
+            }
             let patience = self.tuning.place_patience;
             if let State::Free { since, .. } = slot.state
                 && self.now > since + patience
--- a/crates/core/src/seen.rs
+++ b/crates/core/src/seen.rs
@@ -60,6 +60,18 @@
         (view.name, seen)
     }
 
+    /// Whether a task may fit now that did not before.
+    fn has_gained(&self, before: Option<&Self>) -> bool {
+        let more = |b: &Self| {
+            let (now, then) = (&self.free, &b.free);
+            !b.usable
+                || now.cpus > then.cpus
+                || now.gpus > then.gpus
+                || now.memory_gb > then.memory_gb
+        };
+        self.usable && before.is_none_or(more)
+    }
+
     /// To be told to a peer.
     pub fn tell(&self, now: Duration, name: &str) -> MachineView {
         let ago = |at: Duration| now.saturating_sub(at).as_millis() as u64;
@@ -108,7 +120,11 @@
                 None => self.own.machines.remove(&name).is_some(),
                 Some(machine) => {
                     let seen = self.look(&name, machine);
-                    let changed = self.own.machines.get(&name).is_none_or(|o| o.1 != seen);
+                    let before = self.own.machines.get(&name).map(|o| &o.1);
+                    let changed = before.is_none_or(|b| *b != seen);
+                    if seen.has_gained(before) {
+                        self.futile.room_gained(machine.block);
+                    }
                     if changed {
                         self.own.version += 1;
                         let version = self.own.version;
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -58,6 +58,28 @@
     pub stop: Option<Stop>,
 }
 
+/// How a worker's message came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// The worker sent it. It has one report in flight at a time, so the answer
+    /// to the one before has arrived by then or never will.
+    Report,
+    /// It answers direct orders, which may have overtaken the answer to a
+    /// report.
+    Orders,
+}
+
+/// What follows when a worker's newest message does not list a bound attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unlisted {
+    /// Its start may yet arrive.
+    Unknown,
+    /// The start was lost and has to go out again.
+    Again,
+    /// It is not there and will not be.
+    Gone,
+}
+
 /// Why and how a task is stopped.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stop {
@@ -67,6 +89,30 @@
     pub sent: bool,
 }
 
+impl Bound {
+    /// What follows when the message numbered `seq` does not list it, and no
+    /// start that was sent directly is under way.
+    ///
+    /// A start goes with the answer to a report. Before that answer arrives the
+    /// worker may carry direct orders out, and what it says then is newer than
+    /// that report without the task on it. A task that had to stop was taken
+    /// to be nowhere then, was started elsewhere, and ran twice when the answer
+    /// came, late by a second or more where a controller was behind.
+    pub fn unlisted(&self, seq: u64, origin: Origin) -> Unlisted {
+        let Some(sent) = self.sent else {
+            return Unlisted::Unknown;
+        };
+        let overtaken = origin == Origin::Orders && sent > 0 && !self.seen;
+        if seq <= sent || overtaken {
+            Unlisted::Unknown
+        } else if self.seen || self.stop.is_some() {
+            Unlisted::Gone
+        } else {
+            Unlisted::Again
+        }
+    }
+}
+
 impl Slot {
     /// The machine that it may be on.
     pub fn bound(&self) -> Option<&Bound> {
@@ -339,3 +385,84 @@
         chunks
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_start_in_an_answer_may_be_overtaken_by_direct_orders() {
+        let bound = |sent, seen, stops: bool| Bound {
+            machine: "vm-1".into(),
+            attempt: 1,
+            session: 1,
+            sent,
+            seen,
+            running: false,
+            stop: stops.then_some(Stop {
+                grace: Duration::ZERO,
+                sent: false,
+            }),
+        };
+        let cases = [
+            // Sent with the answer to report 7, and has to stop.
+            (
+                bound(Some(7), false, true),
+                8,
+                Origin::Orders,
+                Unlisted::Unknown,
+            ),
+            (
+                bound(Some(7), false, true),
+                8,
+                Origin::Report,
+                Unlisted::Gone,
+            ),
+            (
+                bound(Some(7), false, true),
+                7,
+                Origin::Report,
+                Unlisted::Unknown,
+            ),
+            (
+                bound(Some(7), false, false),
+                8,
+                Origin::Orders,
+                Unlisted::Unknown,
+            ),
+            (
+                bound(Some(7), false, false),
+                8,
+                Origin::Report,
+                Unlisted::Again,
+            ),
+            // Listed once, so the answer did arrive.
+            (
+                bound(Some(7), true, false),
+                9,
+                Origin::Orders,
+                Unlisted::Gone,
+            ),
+            // Sent directly: its own answer lists it.
+            (
+                bound(Some(0), false, true),
+                8,
+                Origin::Orders,
+                Unlisted::Gone,
+            ),
+            (
+                bound(None, false, true),
+                8,
+                Origin::Report,
+                Unlisted::Unknown,
+            ),
+        ];
+        for (bound, seq, origin, expected) in cases {
+            assert_eq!(
+                bound.unlisted(seq, origin),
+                expected,
+                "{bound:?} {origin:?}"
+            );
+        }
+    }
+}
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -5,7 +5,9 @@
 use async_h1::server::{ConnectionStatus, Server};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt};
-use http_types::{Method as HttpMethod, Request as HttpRequest, Response, StatusCode, headers};
+use http_types::{
+    Error, Method as HttpMethod, Request as HttpRequest, Response, StatusCode, headers,
+};
 use oliveshift_core::{Method, Side, SocketId};
 use oliveshift_wire::{codec::MAX_BODY, encode, job::Refusal};
 
@@ -31,6 +33,9 @@
             Ok(ConnectionStatus::Close) | Err(_) => break,
         }
     }
+    if stream.is_gone() {
+        return;
+    }
     // A close with bytes unread would reset the connection, and the answer
     // could be lost with it.
     stream.finish();
@@ -70,6 +75,11 @@
     if body.len() > MAX_BODY {
         return Ok(unread(stream, "the body is larger than 64 KiB"));
     }
+    if stream.is_gone() {
+        // Given up meanwhile. Whoever is behind and still answers what nobody
+        // reads any more stays behind: those who gave up come again.
+        return Err(Error::from_str(StatusCode::RequestTimeout, "given up"));
+    }
     let method = match request.method() {
         HttpMethod::Get => Method::Get,
         HttpMethod::Post => Method::Post,
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -45,6 +45,13 @@
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the other side has closed it.
+    pub fn is_gone(&self) -> bool {
+        let peeked = self.tcp.get_ref().peek(&mut [0]);
+        !matches!(peeked, Ok(1..))
+            && !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Says that we write no more.
     pub fn finish(&self) {
         let _ = self.tcp.get_ref().shutdown(Shutdown::Write);
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -110,6 +110,30 @@
         /// Until when.
         until: Duration,
     },
+    /// A controller is behind: what reaches it is taken in, and what it sends
+    /// leaves, so much later each.
+    Behind {
+        /// Which.
+        node: usize,
+        /// By how much.
+        lag: Duration,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
+    /// A controller's answers to workers take so much longer, and what it sends
+    /// them directly overtakes them.
+    LateAnswers {
+        /// Which.
+        node: usize,
+        /// By how much.
+        lag: Duration,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// Connections come in at all controllers of which nothing is heard ever
     /// again, as of machines whose network holds what they send.
     Silent {
@@ -144,6 +168,8 @@
             | Self::CloudOutage { from, until }
             | Self::CutWorkers { from, until, .. }
             | Self::Frozen { from, until, .. }
+            | Self::Behind { from, until, .. }
+            | Self::LateAnswers { from, until, .. }
             | Self::Silent { from, until, .. }
             | Self::LostAnswers { from, until }
             | Self::PeersRefuse { from, until } => Some(from..until),
@@ -227,6 +253,38 @@
     faults
 }
 
+/// Draws a day on which controllers are behind among the usual troubles.
+pub fn draw_behind(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6265_6869);
+    let ms = Duration::from_millis;
+    for node in 0..nodes {
+        for _ in 0..rng.usize(0..=2) {
+            let from = ms(rng.u64(15_000..120_000));
+            let lag = ms(rng.u64(300..12_000));
+            let until = (from + ms(rng.u64(5_000..60_000))).min(end);
+            faults.push(Fault::Behind {
+                node,
+                lag,
+                from,
+                until,
+            });
+        }
+        if rng.bool() {
+            let from = ms(rng.u64(15_000..120_000));
+            let lag = ms(rng.u64(100..3_900));
+            let until = (from + ms(rng.u64(20_000..90_000))).min(end);
+            faults.push(Fault::LateAnswers {
+                node,
+                lag,
+                from,
+                until,
+            });
+        }
+    }
+    faults
+}
+
 /// How long a controller takes to come back.
 pub const RESTART: Duration = Duration::from_secs(5);
 
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oliveshift_core::Sabotage;
-use oliveshift_testkit::{Broken, Fault, Outcome, Size, World, draw, draw_roll};
+use oliveshift_testkit::{Broken, Fault, Outcome, Size, World, draw, draw_behind, draw_roll};
 
 const S: Duration = Duration::from_secs(1);
 
@@ -227,6 +227,24 @@
     assert!(outcome.started > 3000, "{} started", outcome.started);
 }
 
+/// Plays a day on which controllers are behind: what reaches them and what they
+/// send takes seconds, and direct orders overtake their answers.
+fn good_behind(seed: u64) {
+    let faults = draw_behind(seed, 3, S * 180);
+    let text = format!("{faults:?}");
+    let outcome = day(seed, faults, None);
+    assert_eq!(outcome.broken, [], "seed {seed}: {text}");
+    assert_eq!(outcome.open, [], "seed {seed}: {text}");
+    assert!(outcome.started > 20, "seed {seed}");
+}
+
+#[test]
+fn drawn_days_behind() {
+    for seed in 200..240 {
+        good_behind(seed);
+    }
+}
+
 /// A longer search for broken rules, run by hand after larger changes.
 #[test]
 #[ignore = "takes minutes"]
@@ -237,6 +255,9 @@
     for seed in 1000..1600 {
         good_roll(seed, draw_roll(seed, 3, S * 180));
     }
+    for seed in 1000..1600 {
+        good_behind(seed);
+    }
     for seed in 0..24 {
         let faults = draw(seed, 3, S * 140);
         grown(seed, faults, S * 400);
