cwl: documents, types, bounded expressions, scatter, command lines and outputs

First part: a package without I/O that reads documents and finds their faults with file, line and place, before anything runs.

Change: crates/cwl. YAML and JSON by saphyr-parser's events, bounded in depth, size and what aliases stand for; $graph, $import, $include and run: by relative path through a given resolver; types; JavaScript by QuickJS (rquickjs), bounded in counted work, memory, stack and result, a new world for each expression; scatter, when, valueFrom, linkMerge, pickValue; argv, staging, outputs. The members of a scatter share their inputs in persistent maps (rpds). What is not supported is refused when a document is read.

--- /dev/null
+++ b/crates/cwl/src/lib.rs
@@ -0,0 +1,20 @@
+//! CWL v1.2 for oliveshift, without I/O: documents and their checks, types,
+//! expressions, scatter and command lines.
+//!
+//! [`load::load`] reads a document and finds its faults; what it gives is run
+//! by others.
+
+pub mod command;
+pub mod document;
+pub mod engine;
+pub mod expr;
+mod fault;
+pub mod load;
+pub mod needs;
+pub mod spot;
+pub mod types;
+pub mod values;
+pub mod yaml;
+
+pub use engine::Engine;
+pub use fault::Fault;
--- /dev/null
+++ b/crates/cwl/src/needs.rs
@@ -0,0 +1,501 @@
+//! Requirements and hints: what a process asks of whoever runs it.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::{
+    engine::Engine,
+    expr::{Scope, Template},
+    fault::Fault,
+    spot::{Spot, local},
+    types::{Names, Type},
+};
+
+/// The name space of what oliveshift adds, as `$namespaces` has to give it.
+pub const NAMESPACE: &str = "https://oliveshift.example/cwl#";
+
+/// One requirement.
+#[derive(Clone, Debug)]
+pub enum Need {
+    /// JavaScript, with a library.
+    Script(Vec<String>),
+    /// Types that have names.
+    Types(Names),
+    /// The image.
+    Image(String),
+    /// Processors and memory.
+    Resources(Resources),
+    /// Variables of the environment.
+    Environment(Vec<(String, Template)>),
+    /// What is in the working directory beforehand.
+    WorkDir(WorkDir),
+    /// The command is run by a shell.
+    Shell,
+    /// The longest that a tool may run, in seconds.
+    TimeLimit(Template),
+    /// What oliveshift adds.
+    Placement(Placement),
+    /// A feature that is always there, or that changes nothing here.
+    Granted,
+}
+
+/// Processors and memory of a tool.
+#[derive(Clone, Debug, Default)]
+pub struct Resources {
+    /// Processors; `coresMin`, or `coresMax` without it.
+    pub cores: Option<Template>,
+    /// Memory in MiB; `ramMin`, or `ramMax` without it.
+    pub ram: Option<Template>,
+}
+
+/// What is put into the working directory.
+#[derive(Clone, Debug)]
+pub enum WorkDir {
+    /// Entries one by one.
+    Entries(Vec<Entry>),
+    /// An expression that gives all of them.
+    All(Template),
+}
+
+/// Something in the working directory.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Its name; none: that of the file.
+    pub name: Option<Template>,
+    /// Text, a file, a directory, or several.
+    pub what: Template,
+    /// Whether the tool may change it.
+    pub writable: bool,
+}
+
+/// How a tool's job is placed and ordered: what a native job says of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Placement {
+    /// The team that pays.
+    pub team: Option<String>,
+    /// The class of work.
+    pub class: Option<String>,
+    /// `low`, `normal` or `high`.
+    pub urgency: Option<String>,
+    /// When it has to be done after the run's start, in seconds.
+    pub deadline_s: Option<f64>,
+    /// The only zone.
+    pub zone: Option<String>,
+    /// Machine types.
+    pub types: Option<Vec<String>>,
+    /// Whether spot machines will do.
+    pub spot: Option<bool>,
+    /// How long a task takes, in seconds.
+    pub estimate_s: Option<f64>,
+    /// The image's size, in GB.
+    pub image_gb: Option<f64>,
+    /// Graphics processors.
+    pub gpus: Option<f64>,
+}
+
+/// The classes of requirements and what becomes of them, by name.
+type Classes = BTreeMap<&'static str, Need>;
+
+/// All that holds for a process.
+#[derive(Clone, Debug, Default)]
+pub struct Needs {
+    required: Classes,
+    hinted: Classes,
+}
+
+impl Needs {
+    /// Reads `requirements` and `hints` of a process or a step.
+    ///
+    /// # Errors
+    /// A requirement that is not known or not supported, or a hint that is not
+    /// well formed.
+    pub fn parse(
+        requirements: Option<&Spot>,
+        hints: Option<&Spot>,
+        outer: &Needs,
+    ) -> Result<Self, Fault> {
+        let mut needs = Self::default();
+        let empty = Vec::new();
+        let required = match requirements {
+            Some(spot) => spot.named("class", None)?,
+            None => empty.clone(),
+        };
+        let hinted = match hints {
+            Some(spot) => spot.named("class", None)?,
+            None => empty,
+        };
+        // JavaScript and types first: the others may use them.
+        let early =
+            |name: &str| !matches!(name, "InlineJavascriptRequirement" | "SchemaDefRequirement");
+        for (list, is_hint) in [(required, false), (hinted, true)] {
+            let mut list = list;
+            list.sort_by_key(|(name, _)| early(name));
+            for (name, spot) in list {
+                let merged = needs.within(outer);
+                let read = read(&name, &spot, is_hint, &merged)?;
+                let Some((class, need)) = read else { continue };
+                let classes = if is_hint {
+                    &mut needs.hinted
+                } else {
+                    &mut needs.required
+                };
+                if classes.insert(class, need).is_some() {
+                    return Err(spot.fault(format!("`{name}` is given twice")));
+                }
+            }
+        }
+        Ok(needs)
+    }
+
+    /// These within a workflow or step that has some itself: the inner ones
+    /// count, and requirements before hints.
+    pub fn within(&self, outer: &Needs) -> Self {
+        let merge = |outer: &Classes, inner: &Classes| {
+            let mut all = outer.clone();
+            all.extend(inner.iter().map(|(c, n)| (*c, n.clone())));
+            all
+        };
+        Self {
+            required: merge(&outer.required, &self.required),
+            hinted: merge(&outer.hinted, &self.hinted),
+        }
+    }
+
+    fn get(&self, class: &str) -> Option<&Need> {
+        let required = self.required.get(class);
+        required.or_else(|| self.hinted.get(class))
+    }
+
+    /// The library of expressions; none if JavaScript is not asked for.
+    pub fn library(&self) -> Option<&[String]> {
+        match self.get("InlineJavascriptRequirement") {
+            Some(Need::Script(library)) => Some(library),
+            _ => None,
+        }
+    }
+
+    /// Types that have names.
+    pub fn names(&self) -> Names {
+        match self.get("SchemaDefRequirement") {
+            Some(Need::Types(names)) => names.clone(),
+            _ => Names::new(),
+        }
+    }
+
+    /// The image.
+    pub fn image(&self) -> Option<&str> {
+        match self.get("DockerRequirement") {
+            Some(Need::Image(image)) => Some(image),
+            _ => None,
+        }
+    }
+
+    /// Processors and memory in MiB. CWL's own defaults where nothing is said.
+    ///
+    /// # Errors
+    /// What is given is no number above zero.
+    pub fn resources(&self, scope: &Scope<'_>, engine: &Engine) -> Result<(f64, f64), Fault> {
+        let (mut cores, mut ram) = (1.0, 256.0);
+        if let Some(Need::Resources(asked)) = self.get("ResourceRequirement") {
+            for (given, into) in [(&asked.cores, &mut cores), (&asked.ram, &mut ram)] {
+                if let Some(given) = given {
+                    *into = positive(given, scope, engine)?;
+                }
+            }
+        }
+        Ok((cores, ram))
+    }
+
+    /// Variables of the environment.
+    pub fn environment(&self) -> &[(String, Template)] {
+        match self.get("EnvVarRequirement") {
+            Some(Need::Environment(list)) => list,
+            _ => &[],
+        }
+    }
+
+    /// What is in the working directory beforehand.
+    pub fn work_dir(&self) -> Option<&WorkDir> {
+        match self.get("InitialWorkDirRequirement") {
+            Some(Need::WorkDir(dir)) => Some(dir),
+            _ => None,
+        }
+    }
+
+    /// Whether a shell runs the command.
+    pub fn shell(&self) -> bool {
+        self.get("ShellCommandRequirement").is_some()
+    }
+
+    /// The longest that a tool may run; none: as long as it likes.
+    ///
+    /// # Errors
+    /// What is given is no number.
+    pub fn time_limit(&self, scope: &Scope<'_>, engine: &Engine) -> Result<Option<f64>, Fault> {
+        match self.get("ToolTimeLimit") {
+            Some(Need::TimeLimit(limit)) => {
+                let value = limit.eval(scope, engine)?;
+                match value.as_f64() {
+                    // Zero means none, by the standard.
+                    Some(0.0) => Ok(None),
+                    Some(limit) if limit > 0.0 => Ok(Some(limit)),
+                    _ => Err(limit.spot().fault("a number of seconds is expected")),
+                }
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// What oliveshift adds.
+    pub fn placement(&self) -> Placement {
+        match self.get("Placement") {
+            Some(Need::Placement(placement)) => placement.clone(),
+            _ => Placement::default(),
+        }
+    }
+
+    /// Whether a feature is asked for.
+    pub fn has(&self, class: &str) -> bool {
+        self.get(class).is_some()
+    }
+}
+
+fn positive(given: &Template, scope: &Scope<'_>, engine: &Engine) -> Result<f64, Fault> {
+    let value = given.eval(scope, engine)?;
+    match value.as_f64() {
+        Some(x) if x > 0.0 && x.is_finite() => Ok(x),
+        _ => {
+            let what = format!("a number above zero is expected, not {value}");
+            Err(given.spot().fault(what))
+        }
+    }
+}
+
+/// Reads one. None: a hint that is not known, which may be passed over.
+fn read(
+    name: &str,
+    spot: &Spot,
+    is_hint: bool,
+    known: &Needs,
+) -> Result<Option<(&'static str, Need)>, Fault> {
+    let js = known.library().is_some();
+    let mut fields = spot.fields()?;
+    fields.get("class");
+    let template = |spot: Option<Spot>| spot.map(|s| Template::parse(&s, js)).transpose();
+    let read = match local_class(name) {
+        "InlineJavascriptRequirement" => {
+            let library = fields.get("expressionLib");
+            let library = library.map(|l| l.texts()).transpose()?.unwrap_or_default();
+            ("InlineJavascriptRequirement", Need::Script(library))
+        }
+        "SchemaDefRequirement" => {
+            let mut names = known.names();
+            for kind in fields.need("types")?.one_or_list() {
+                let Some(name) = kind.node.get("name") else {
+                    return Err(kind.fault("`name` is missing"));
+                };
+                let name = kind.below("name", name.clone());
+                let read = Type::parse(&kind, &names)?;
+                names.insert(local(name.text()?).to_owned(), read);
+            }
+            ("SchemaDefRequirement", Need::Types(names))
+        }
+        "DockerRequirement" => {
+            let pull = fields.get("dockerPull");
+            let id = fields.get("dockerImageId");
+            let other = [
+                "dockerLoad",
+                "dockerFile",
+                "dockerImport",
+                "dockerOutputDirectory",
+            ];
+            for other in other {
+                if let Some(spot) = fields.get(other) {
+                    return Err(spot.fault("not supported: name an image by `dockerPull`"));
+                }
+            }
+            let Some(image) = pull.or(id) else {
+                return Err(spot.fault("`dockerPull` is missing"));
+            };
+            ("DockerRequirement", Need::Image(image.text()?.to_owned()))
+        }
+        "ResourceRequirement" => {
+            let (cores, most) = (fields.get("coresMin"), fields.get("coresMax"));
+            let cores = template(cores.or(most))?;
+            let (ram, most) = (fields.get("ramMin"), fields.get("ramMax"));
+            let ram = template(ram.or(most))?;
+            // Machines have one disk, of which the service has no measure.
+            for disk in ["tmpdirMin", "tmpdirMax", "outdirMin", "outdirMax"] {
+                if let Some(spot) = fields.get(disk)
+                    && !is_hint
+                {
+                    return Err(spot.fault("disk space is not measured; give it as a hint"));
+                }
+            }
+            let resources = Resources { cores, ram };
+            ("ResourceRequirement", Need::Resources(resources))
+        }
+        "EnvVarRequirement" => {
+            let mut list = Vec::new();
+            let given = fields.need("envDef")?;
+            for (name, entry) in given.named("envName", Some("envValue"))? {
+                let mut entry = entry.fields()?;
+                entry.get("envName");
+                let value = Template::parse(&entry.need("envValue")?, js)?;
+                entry.end()?;
+                if name.is_empty() || name.contains(['=', '\0']) {
+                    return Err(given.fault(format!("`{name}` is no variable's name")));
+                }
+                list.push((name, value));
+            }
+            ("EnvVarRequirement", Need::Environment(list))
+        }
+        "InitialWorkDirRequirement" => {
+            let listing = fields.need("listing")?;
+            let dir = match listing.text() {
+                Ok(_) => WorkDir::All(Template::parse(&listing, js)?),
+                Err(_) => {
+                    let entries = listing.one_or_list();
+                    let entries = entries.iter().map(|e| entry(e, js));
+                    WorkDir::Entries(entries.collect::<Result<_, _>>()?)
+                }
+            };
+            ("InitialWorkDirRequirement", Need::WorkDir(dir))
+        }
+        "ShellCommandRequirement" => ("ShellCommandRequirement", Need::Shell),
+        "ToolTimeLimit" => {
+            let limit = Template::parse(&fields.need("timelimit")?, js)?;
+            ("ToolTimeLimit", Need::TimeLimit(limit))
+        }
+        "Placement" if name != "Placement" => {
+            let placement = placement(&mut fields)?;
+            ("Placement", Need::Placement(placement))
+        }
+        "ScatterFeatureRequirement" => ("ScatterFeatureRequirement", Need::Granted),
+        "SubworkflowFeatureRequirement" => ("SubworkflowFeatureRequirement", Need::Granted),
+        "MultipleInputFeatureRequirement" => ("MultipleInputFeatureRequirement", Need::Granted),
+        "StepInputExpressionRequirement" => ("StepInputExpressionRequirement", Need::Granted),
+        "WorkReuse" => {
+            // Nothing is reused, which is what `false` asks and `true` allows.
+            fields.get("enableReuse");
+            ("WorkReuse", Need::Granted)
+        }
+        "NetworkAccess" => {
+            let access = fields.need("networkAccess")?;
+            if !is_hint && !access.bool()? {
+                let what = "tasks have their machine's network; it can't be taken away";
+                return Err(access.fault(what));
+            }
+            ("NetworkAccess", Need::Granted)
+        }
+        "LoadListingRequirement" => {
+            if let Some(how) = fields.get("loadListing")
+                && how.text()? != "no_listing"
+            {
+                return Err(how.fault("only `no_listing` is supported"));
+            }
+            ("LoadListingRequirement", Need::Granted)
+        }
+        other if is_hint => {
+            let _ = other;
+            return Ok(None);
+        }
+        "SoftwareRequirement" | "InplaceUpdateRequirement" => {
+            return Err(spot.fault(format!("`{name}` is not supported")));
+        }
+        _ => return Err(spot.fault(format!("the requirement `{name}` is not known"))),
+    };
+    fields.end()?;
+    Ok(Some(read))
+}
+
+/// `Placement` of `oliveshift:Placement` or of the whole name.
+fn local_class(name: &str) -> &str {
+    if let Some(rest) = name.strip_prefix(NAMESPACE) {
+        return rest;
+    }
+    match name.split_once(':') {
+        Some(("oliveshift" | "cwl", rest)) => rest,
+        _ => name,
+    }
+}
+
+fn entry(spot: &Spot, js: bool) -> Result<Entry, Fault> {
+    if spot.text().is_ok() || spot.node.get("entry").is_none() {
+        return Ok(Entry {
+            name: None,
+            what: Template::parse(spot, js)?,
+            writable: false,
+        });
+    }
+    let mut fields = spot.fields()?;
+    let name = fields.get("entryname");
+    let entry = Entry {
+        name: name.map(|n| Template::parse(&n, js)).transpose()?,
+        what: Template::parse(&fields.need("entry")?, js)?,
+        writable: match fields.get("writable") {
+            Some(writable) => writable.bool()?,
+            None => false,
+        },
+    };
+    fields.end()?;
+    Ok(entry)
+}
+
+fn placement(fields: &mut crate::spot::Fields) -> Result<Placement, Fault> {
+    let mut text = |name| -> Result<Option<(String, Spot)>, Fault> {
+        let spot = fields.get(name);
+        spot.map(|s| Ok((s.text()?.to_owned(), s))).transpose()
+    };
+    let team = text("team")?;
+    let class = text("class_of_work")?;
+    let urgency = text("urgency")?;
+    let zone = text("zone")?;
+    if let Some((urgency, spot)) = &urgency
+        && !["low", "normal", "high"].contains(&urgency.as_str())
+    {
+        // Production is for services, which a workflow's steps are not.
+        return Err(spot.fault("`low`, `normal` or `high` is expected"));
+    }
+    let mut number = |name| -> Result<Option<f64>, Fault> {
+        let Some(spot) = fields.get(name) else {
+            return Ok(None);
+        };
+        match spot.number()? {
+            x if x >= 0.0 && x.is_finite() => Ok(Some(x)),
+            _ => Err(spot.fault("a number of at least zero is expected")),
+        }
+    };
+    let deadline_s = number("deadline_s")?;
+    let estimate_s = number("estimate_s")?;
+    let image_gb = number("image_gb")?;
+    let gpus = number("gpus")?;
+    let types = fields.get("types").map(|t| t.texts()).transpose()?;
+    let spot = fields.get("spot").map(|s| s.bool()).transpose()?;
+    let plain = |text: Option<(String, Spot)>| text.map(|(text, _)| text);
+    Ok(Placement {
+        team: plain(team),
+        class: plain(class),
+        urgency: plain(urgency),
+        deadline_s,
+        zone: plain(zone),
+        types,
+        spot,
+        estimate_s,
+        image_gb,
+        gpus,
+    })
+}
+
+/// The runtime that expressions see, by what a tool asked for.
+pub fn runtime(cores: f64, ram: f64) -> Value {
+    serde_json::json!({
+        "outdir": ".",
+        "tmpdir": "/tmp",
+        "cores": cores.ceil(),
+        "ram": ram.ceil(),
+        "outdirSize": 1024,
+        "tmpdirSize": 1024,
+    })
+}
--- /dev/null
+++ b/crates/cwl/src/types.rs
@@ -0,0 +1,281 @@
+//! The types of CWL, and which values have them.
+
+use std::{collections::BTreeMap, fmt};
+
+use serde_json::{Map, Value};
+
+use crate::{
+    fault::Fault,
+    spot::{Spot, local},
+    yaml::Data,
+};
+
+/// A type.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Type {
+    /// Nothing.
+    Null,
+    /// `true` or `false`.
+    Boolean,
+    /// 32 bits.
+    Int,
+    /// 64 bits.
+    Long,
+    /// A number, single precision.
+    Float,
+    /// A number, double precision.
+    Double,
+    /// Text.
+    String,
+    /// A file.
+    File,
+    /// A directory.
+    Directory,
+    /// Anything but nothing.
+    Any,
+    /// The standard output of a tool, as a file.
+    Stdout,
+    /// Its standard error.
+    Stderr,
+    /// Values in order.
+    Array(Box<Type>),
+    /// Values by name.
+    Record(Vec<(String, Type)>),
+    /// One of these texts.
+    Enum(Vec<String>),
+    /// One of these types.
+    Union(Vec<Type>),
+}
+
+/// Types that a document names itself.
+pub type Names = BTreeMap<String, Type>;
+
+impl Type {
+    /// Reads a type.
+    ///
+    /// # Errors
+    /// It is none, or none that is known.
+    pub fn parse(spot: &Spot, names: &Names) -> Result<Self, Fault> {
+        match &spot.node.data {
+            Data::Text(text) => Self::named(text, spot, names),
+            Data::List(_) => {
+                let types = spot.one_or_list();
+                let types: Result<Vec<_>, _> =
+                    types.iter().map(|t| Self::parse(t, names)).collect();
+                Ok(Self::Union(types?))
+            }
+            Data::Map(_) => Self::schema(spot, names),
+            _ => Err(spot.fault(format!("a type is expected, not {}", spot.node.kind()))),
+        }
+    }
+
+    fn named(text: &str, spot: &Spot, names: &Names) -> Result<Self, Fault> {
+        if let Some(inner) = text.strip_suffix('?') {
+            let inner = Self::named(inner, spot, names)?;
+            return Ok(Self::Union(vec![Self::Null, inner]));
+        }
+        if let Some(inner) = text.strip_suffix("[]") {
+            let inner = Self::named(inner, spot, names)?;
+            return Ok(Self::Array(Box::new(inner)));
+        }
+        Ok(match text {
+            "null" => Self::Null,
+            "boolean" => Self::Boolean,
+            "int" => Self::Int,
+            "long" => Self::Long,
+            "float" => Self::Float,
+            "double" => Self::Double,
+            "string" => Self::String,
+            "File" => Self::File,
+            "Directory" => Self::Directory,
+            "Any" => Self::Any,
+            "stdout" => Self::Stdout,
+            "stderr" => Self::Stderr,
+            "stdin" => {
+                return Err(
+                    spot.fault("`type: stdin` is not supported; write `stdin: $(inputs.…)`")
+                );
+            }
+            name => match names.get(local(name)) {
+                Some(known) => known.clone(),
+                None => return Err(spot.fault(format!("the type `{name}` is not known"))),
+            },
+        })
+    }
+
+    /// A type that is spelled out. What `inputBinding` it has is read apart.
+    fn schema(spot: &Spot, names: &Names) -> Result<Self, Fault> {
+        let mut fields = spot.fields()?;
+        fields.remarks();
+        let kind = fields.need("type")?;
+        fields.get("name");
+        fields.get("inputBinding");
+        let read = match kind.text() {
+            Ok("array") => {
+                let items = fields.need("items")?;
+                Self::Array(Box::new(Self::parse(&items, names)?))
+            }
+            Ok("enum") => Self::Enum(
+                fields
+                    .need("symbols")?
+                    .texts()?
+                    .iter()
+                    .map(|s| local(s).to_owned())
+                    .collect(),
+            ),
+            Ok("record") => {
+                let mut parts = Vec::new();
+                if let Some(list) = fields.get("fields") {
+                    for (name, field) in list.named("name", Some("type"))? {
+                        let mut field = field.fields()?;
+                        field.remarks();
+                        field.get("name");
+                        field.get("inputBinding");
+                        for what in ["outputBinding", "secondaryFiles", "streamable", "format"] {
+                            if let Some(spot) = field.get(what) {
+                                return Err(spot.fault("not supported for the fields of a record"));
+                            }
+                        }
+                        let kind = Self::parse(&field.need("type")?, names)?;
+                        field.end()?;
+                        parts.push((local(&name).to_owned(), kind));
+                    }
+                }
+                Self::Record(parts)
+            }
+            _ => return Self::parse(&kind, names),
+        };
+        fields.end()?;
+        Ok(read)
+    }
+
+    /// Whether nothing is a value of it.
+    pub fn is_optional(&self) -> bool {
+        match self {
+            Self::Null => true,
+            Self::Union(types) => types.iter().any(Self::is_optional),
+            _ => false,
+        }
+    }
+
+    /// Checks a value.
+    ///
+    /// # Errors
+    /// What does not fit, in words.
+    pub fn check(&self, value: &Value) -> Result<(), String> {
+        let fits = match (self, value) {
+            (Self::Null, Value::Null)
+            | (Self::Boolean, Value::Bool(_))
+            | (Self::Float | Self::Double, Value::Number(_))
+            | (Self::String, Value::String(_)) => true,
+            (Self::Int, Value::Number(n)) => n.as_i64().is_some_and(|n| i32::try_from(n).is_ok()),
+            (Self::Long, Value::Number(n)) => n.as_i64().is_some(),
+            (Self::Any, value) => !value.is_null(),
+            (Self::File | Self::Stdout | Self::Stderr, value) => class_of(value) == Some("File"),
+            (Self::Directory, value) => class_of(value) == Some("Directory"),
+            (Self::Enum(symbols), Value::String(text)) => symbols.contains(text),
+            (Self::Array(items), Value::Array(list)) => {
+                for (i, value) in list.iter().enumerate() {
+                    items.check(value).map_err(|e| format!("[{i}]: {e}"))?;
+                }
+                true
+            }
+            (Self::Record(fields), Value::Object(map)) => {
+                for (name, kind) in fields {
+                    let value = map.get(name).unwrap_or(&Value::Null);
+                    kind.check(value).map_err(|e| format!("{name}: {e}"))?;
+                }
+                match map.keys().find(|k| !fields.iter().any(|f| f.0 == **k)) {
+                    Some(unknown) => return Err(format!("{unknown}: not a field of the record")),
+                    None => true,
+                }
+            }
+            (Self::Union(types), value) => match types.as_slice() {
+                // The one that may be meant gives the better reason.
+                [Self::Null, one] if !value.is_null() => return one.check(value),
+                types => types.iter().any(|t| t.check(value).is_ok()),
+            },
+            _ => false,
+        };
+        match fits {
+            true => Ok(()),
+            false => Err(format!("{self} is expected, not {}", describe(value))),
+        }
+    }
+
+    /// Whether some value of this type is one of the other: a link between the
+    /// two may work out.
+    pub fn may_be(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Union(types), other) => types.iter().any(|t| t.may_be(other)),
+            (this, Self::Union(types)) => types.iter().any(|t| this.may_be(t)),
+            (Self::Any, other) => *other != Self::Null,
+            (this, Self::Any) => *this != Self::Null,
+            (Self::Array(a), Self::Array(b)) => a.may_be(b),
+            (Self::Stdout | Self::Stderr | Self::File, other) => {
+                matches!(other, Self::File | Self::Stdout | Self::Stderr)
+            }
+            (Self::Int | Self::Long, Self::Int | Self::Long | Self::Float | Self::Double)
+            | (Self::Float | Self::Double, Self::Float | Self::Double)
+            | (Self::Enum(_), Self::String)
+            | (Self::String, Self::Enum(_)) => true,
+            (Self::Enum(a), Self::Enum(b)) => a.iter().any(|s| b.contains(s)),
+            (Self::Record(a), Self::Record(b)) => a.iter().all(|(name, kind)| {
+                let there = b.iter().find(|(n, _)| n == name);
+                there.is_some_and(|(_, k)| kind.may_be(k))
+            }),
+            (this, other) => this == other,
+        }
+    }
+}
+
+/// The class of a file or directory.
+pub fn class_of(value: &Value) -> Option<&str> {
+    value.as_object()?.get("class")?.as_str()
+}
+
+fn describe(value: &Value) -> String {
+    match value {
+        Value::Null => "nothing".into(),
+        Value::Bool(b) => b.to_string(),
+        Value::Number(n) => n.to_string(),
+        Value::String(text) if text.len() <= 40 => format!("\"{text}\""),
+        Value::String(_) => "text".into(),
+        Value::Array(list) => format!("an array of {}", list.len()),
+        Value::Object(map) => describe_object(map),
+    }
+}
+
+fn describe_object(map: &Map<String, Value>) -> String {
+    match map.get("class").and_then(Value::as_str) {
+        Some(class) => format!("a {class}"),
+        None => "a record".into(),
+    }
+}
+
+impl fmt::Display for Type {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = match self {
+            Self::Null => "null",
+            Self::Boolean => "boolean",
+            Self::Int => "int",
+            Self::Long => "long",
+            Self::Float => "float",
+            Self::Double => "double",
+            Self::String => "string",
+            Self::File => "File",
+            Self::Directory => "Directory",
+            Self::Any => "Any",
+            Self::Stdout => "stdout",
+            Self::Stderr => "stderr",
+            Self::Array(items) => return write!(f, "{items}[]"),
+            Self::Record(_) => "a record",
+            Self::Enum(symbols) => return write!(f, "one of {}", symbols.join(", ")),
+            Self::Union(types) => {
+                let names: Vec<_> = types.iter().map(Self::to_string).collect();
+                return f.write_str(&names.join(" or "));
+            }
+        };
+        f.write_str(name)
+    }
+}
--- /dev/null
+++ b/crates/cwl/src/values.rs
@@ -0,0 +1,414 @@
+//! What goes into the members of a step, and what comes out of them together.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use crate::{
+    document::{Common, Link, Merge, Method, Parameter, Pick, Secondary, Source, Step},
+    engine::Engine,
+    expr::{Object, Scope, Template},
+    fault::Fault,
+    spot::Spot,
+    types::class_of,
+};
+
+/// The most members of a scatter.
+pub const MAX_MEMBERS: usize = 100_000;
+
+/// One run of a step.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// What goes into its process.
+    pub inputs: Object,
+    /// Whether it is run; if not, all that comes out of it is null.
+    pub runs: bool,
+}
+
+/// All runs of a step.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Members {
+    /// How many there are in each direction; empty: the step is not scattered.
+    pub shape: Vec<usize>,
+    /// In order, the last direction first.
+    pub members: Vec<Member>,
+}
+
+/// The value that comes over a link; none: it is not known yet.
+///
+/// # Errors
+/// `pickValue` finds none, or not only one.
+pub fn linked(
+    link: &Link,
+    of: &dyn Fn(&Source) -> Option<Arc<Value>>,
+) -> Result<Option<Arc<Value>>, String> {
+    let values: Option<Vec<_>> = link.sources.iter().map(of).collect();
+    let Some(mut values) = values else {
+        return Ok(None);
+    };
+    let list = match link.merges() {
+        None => {
+            let only = values.pop().unwrap_or_default();
+            let Some(pick) = link.pick else {
+                return Ok(Some(only));
+            };
+            let list = match &*only {
+                Value::Array(list) => list.clone(),
+                other => vec![other.clone()],
+            };
+            return picked(list, Some(pick)).map(Some);
+        }
+        Some(Merge::Nested) => values.iter().map(|v| (**v).clone()).collect(),
+        Some(Merge::Flattened) => {
+            let mut flat = Vec::new();
+            for value in &values {
+                match &**value {
+                    Value::Array(list) => flat.extend(list.iter().cloned()),
+                    other => flat.push(other.clone()),
+                }
+            }
+            flat
+        }
+    };
+    picked(list, link.pick).map(Some)
+}
+
+fn picked(list: Vec<Value>, pick: Option<Pick>) -> Result<Arc<Value>, String> {
+    let Some(pick) = pick else {
+        return Ok(Arc::new(list.into()));
+    };
+    let mut there = list.into_iter().filter(|v| !v.is_null());
+    match pick {
+        Pick::All => Ok(Arc::new(there.collect())),
+        Pick::First => there
+            .next()
+            .map(Arc::new)
+            .ok_or_else(|| "pickValue: all of them are null".to_owned()),
+        Pick::Only => match (there.next(), there.next()) {
+            (Some(only), None) => Ok(Arc::new(only)),
+            (None, _) => Err("pickValue: all of them are null".into()),
+            (Some(_), Some(_)) => Err("pickValue: more than one is not null".into()),
+        },
+    }
+}
+
+/// The runs of a step; none: what goes in is not known yet. `contents` gives
+/// the beginning of a file for those inputs that ask for it.
+///
+/// # Errors
+/// What goes in does not fit, with its place.
+pub fn members(
+    step: &Step,
+    of: &dyn Fn(&Source) -> Option<Arc<Value>>,
+    contents: &dyn Fn(&str) -> Option<String>,
+    engine: &Engine,
+) -> Result<Option<Members>, Fault> {
+    let mut base = Object::default();
+    for input in &step.inputs {
+        let value = linked(&input.link, of).map_err(|e| input.spot.fault(e))?;
+        let Some(mut value) = value else {
+            return Ok(None);
+        };
+        if value.is_null()
+            && let Some(default) = &input.default
+        {
+            value = Arc::new(default.clone());
+        }
+        if input.load_contents {
+            value = with_contents(&value, contents).map_err(|e| input.spot.fault(e))?;
+        }
+        base.insert_mut(input.name.clone(), value);
+    }
+    let (shape, objects) = scattered(step, &base)?;
+    let mut all = Vec::with_capacity(objects.len());
+    for object in objects {
+        all.push(member(step, object, contents, engine)?);
+    }
+    let members = Members {
+        shape,
+        members: all,
+    };
+    Ok(Some(members))
+}
+
+/// The inputs of each member, before `valueFrom`.
+fn scattered(step: &Step, base: &Object) -> Result<(Vec<usize>, Vec<Object>), Fault> {
+    if step.scatter.is_empty() {
+        return Ok((Vec::new(), vec![base.clone()]));
+    }
+    let mut lists: Vec<(&str, Vec<Arc<Value>>)> = Vec::new();
+    for name in &step.scatter {
+        let value = base.get(name).cloned().unwrap_or_default();
+        let Value::Array(list) = &*value else {
+            let what = format!("scatter: `{name}` is no array");
+            return Err(step.spot.fault(what));
+        };
+        let list = list.iter().cloned().map(Arc::new).collect();
+        lists.push((name, list));
+    }
+    let lengths: Vec<usize> = lists.iter().map(|(_, list)| list.len()).collect();
+    let (shape, count) = match step.method {
+        Method::Dot => {
+            let first = lengths.first().copied().unwrap_or(0);
+            if lengths.iter().any(|n| *n != first) {
+                let what = format!("scatter: arrays of different lengths, {lengths:?}");
+                return Err(step.spot.fault(what));
+            }
+            (vec![first], Some(first))
+        }
+        Method::Nested | Method::Flat => {
+            let count = lengths.iter().try_fold(1usize, |a, b| a.checked_mul(*b));
+            (lengths.clone(), count)
+        }
+    };
+    let count = count.filter(|n| *n <= MAX_MEMBERS).ok_or_else(|| {
+        let what = format!("scatter: more than {MAX_MEMBERS} members");
+        step.spot.fault(what)
+    })?;
+    let mut objects = Vec::with_capacity(count);
+    for i in 0..count {
+        let mut object = base.clone();
+        // The last list goes fastest.
+        let mut rest = i;
+        for (name, list) in lists.iter().rev() {
+            let at = match step.method {
+                Method::Dot => i,
+                Method::Nested | Method::Flat => {
+                    let at = rest % list.len();
+                    rest /= list.len();
+                    at
+                }
+            };
+            object.insert_mut((*name).to_owned(), list[at].clone());
+        }
+        objects.push(object);
+    }
+    let shape = match step.method {
+        Method::Flat => vec![count],
+        Method::Dot | Method::Nested => shape,
+    };
+    Ok((shape, objects))
+}
+
+fn member(
+    step: &Step,
+    object: Object,
+    contents: &dyn Fn(&str) -> Option<String>,
+    engine: &Engine,
+) -> Result<Member, Fault> {
+    let mut made = object.clone();
+    let scope = |own: Value, inputs: Object| Scope {
+        inputs,
+        own,
+        runtime: Value::Null,
+        library: step.needs.library(),
+    };
+    for input in &step.inputs {
+        if let Some(template) = &input.value_from {
+            let own = object.get(&input.name).map(|v| (**v).clone());
+            // All see what came in, none what another one makes of it.
+            let scope = scope(own.unwrap_or_default(), object.clone());
+            let value = template.eval(&scope, engine)?;
+            made.insert_mut(input.name.clone(), Arc::new(value));
+        }
+    }
+    if let Some(when) = &step.when {
+        match when.eval(&scope(Value::Null, made.clone()), engine)? {
+            Value::Bool(true) => {}
+            Value::Bool(false) => {
+                return Ok(Member {
+                    inputs: Object::default(),
+                    runs: false,
+                });
+            }
+            other => {
+                let what = format!("when: true or false is expected, not {other}");
+                return Err(step.spot.fault(what));
+            }
+        }
+    }
+    let inputs = taken(step.run.common(), &made, contents, &step.spot)?;
+    Ok(Member { inputs, runs: true })
+}
+
+/// What a process makes of what is given to it: defaults, checks, and the
+/// beginnings of files.
+///
+/// # Errors
+/// Something is missing or of the wrong type.
+pub fn taken(
+    common: &Common,
+    given: &Object,
+    contents: &dyn Fn(&str) -> Option<String>,
+    spot: &Spot,
+) -> Result<Object, Fault> {
+    let mut taken = Object::default();
+    for parameter in &common.inputs {
+        let name = &parameter.name;
+        let mut value = given.get(name).cloned().unwrap_or_default();
+        if value.is_null()
+            && let Some(default) = &parameter.default
+        {
+            value = Arc::new(default.clone());
+        }
+        let fits = fits(parameter, &value);
+        fits.map_err(|e| spot.fault(format!("{name}: {e}")))?;
+        if parameter.load_contents {
+            let loaded = with_contents(&value, contents);
+            value = loaded.map_err(|e| spot.fault(format!("{name}: {e}")))?;
+        }
+        taken.insert_mut(name.clone(), value);
+    }
+    Ok(taken)
+}
+
+fn fits(parameter: &Parameter, value: &Value) -> Result<(), String> {
+    parameter.kind.check(value)?;
+    for file in files(value) {
+        for wanted in &parameter.secondary {
+            if wanted.required && !has_secondary(file, wanted) {
+                let name = wanted.of(basename(file));
+                return Err(format!("the secondary file `{name}` is missing"));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn has_secondary(file: &Value, wanted: &Secondary) -> bool {
+    let name = wanted.of(basename(file));
+    let there = file.get("secondaryFiles").and_then(Value::as_array);
+    there.is_some_and(|list| list.iter().any(|f| basename(f) == name))
+}
+
+/// The files of a value that are not in a directory or beside a file.
+pub fn files(value: &Value) -> Vec<&Value> {
+    match value {
+        Value::Array(list) => list.iter().flat_map(files).collect(),
+        value if class_of(value) == Some("File") => vec![value],
+        Value::Object(map) if !map.contains_key("class") => map.values().flat_map(files).collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// The name of a file or directory, without where it is.
+pub fn basename(file: &Value) -> &str {
+    let text = |name: &str| file.get(name).and_then(Value::as_str);
+    if let Some(name) = text("basename") {
+        return name;
+    }
+    let place = text("path").or(text("location")).unwrap_or_default();
+    let place = place.trim_end_matches('/');
+    place.rsplit_once('/').map_or(place, |(_, name)| name)
+}
+
+fn with_contents(
+    value: &Arc<Value>,
+    contents: &dyn Fn(&str) -> Option<String>,
+) -> Result<Arc<Value>, String> {
+    let mut value = (**value).clone();
+    load(&mut value, contents)?;
+    Ok(Arc::new(value))
+}
+
+fn load(value: &mut Value, contents: &dyn Fn(&str) -> Option<String>) -> Result<(), String> {
+    match value {
+        Value::Array(list) => list.iter_mut().try_for_each(|v| load(v, contents)),
+        Value::Object(map) if map.get("class").and_then(Value::as_str) == Some("File") => {
+            if map.contains_key("contents") {
+                return Ok(());
+            }
+            let location = map.get("location").and_then(Value::as_str);
+            let location = location.unwrap_or_default().to_owned();
+            let Some(text) = contents(&location) else {
+                return Err(format!("the contents of {location} can't be had"));
+            };
+            map.insert("contents".into(), text.into());
+            Ok(())
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Files whose beginnings a step's inputs ask for, by location, as far as their
+/// values are known.
+pub fn wanted_contents(step: &Step, of: &dyn Fn(&Source) -> Option<Arc<Value>>) -> Vec<String> {
+    let takes = &step.run.common().inputs;
+    let mut wanted = Vec::new();
+    for input in &step.inputs {
+        let parameter = takes.iter().find(|p| p.name == input.name);
+        if !input.load_contents && !parameter.is_some_and(|p| p.load_contents) {
+            continue;
+        }
+        let Ok(Some(value)) = linked(&input.link, of) else {
+            continue;
+        };
+        for file in files(&value) {
+            let location = file.get("location").and_then(Value::as_str);
+            if let Some(location) = location
+                && file.get("contents").is_none()
+            {
+                wanted.push(location.to_owned());
+            }
+        }
+    }
+    wanted
+}
+
+/// What comes out of all members of a step under one name.
+pub fn gathered(shape: &[usize], method: Method, each: Vec<Value>) -> Value {
+    match (shape, method) {
+        ([], _) => each.into_iter().next().unwrap_or_default(),
+        (shape, Method::Nested) => nested(shape, &mut each.into_iter()),
+        _ => each.into(),
+    }
+}
+
+fn nested(shape: &[usize], each: &mut impl Iterator<Item = Value>) -> Value {
+    match shape {
+        [] => each.next().unwrap_or_default(),
+        [first, rest @ ..] => (0..*first).map(|_| nested(rest, each)).collect(),
+    }
+}
+
+/// The outputs of an expression, or of a tool that gave them as JSON.
+///
+/// # Errors
+/// It is no map, or something is missing, or of the wrong type.
+pub fn checked(common: &Common, given: Value) -> Result<Object, Fault> {
+    let Value::Object(mut map) = given else {
+        let what = format!("a map of outputs is expected, not {given}");
+        return Err(common.spot.fault(what));
+    };
+    let mut object = Object::default();
+    for output in &common.outputs {
+        let value = map.remove(&output.name).unwrap_or_default();
+        if let Err(e) = output.kind.check(&value) {
+            return Err(output.spot.fault(e));
+        }
+        object.insert_mut(output.name.clone(), Arc::new(value));
+    }
+    match map.keys().next() {
+        Some(unknown) => Err(common.spot.fault(format!("there is no output `{unknown}`"))),
+        None => Ok(object),
+    }
+}
+
+/// Runs an expression tool.
+///
+/// # Errors
+/// It throws, or what it gives does not fit.
+pub fn expression(
+    common: &Common,
+    template: &Template,
+    inputs: &Object,
+    engine: &Engine,
+) -> Result<Object, Fault> {
+    let scope = Scope {
+        inputs: inputs.clone(),
+        own: Value::Null,
+        runtime: Value::Null,
+        library: common.needs.library(),
+    };
+    checked(common, template.eval(&scope, engine)?)
+}
