New connections of workers are not read while those that have one keep us busy

Each comes over a new connection, so that none is served well enough to stay.

Change: of a new connection only the first bytes are looked at. Users and probes are read at once; workers wait in core::intake, the newest first, behind those that are served already, and are closed unread after the four seconds that they wait. The simulated world has connections that wait to be read.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -116,6 +116,8 @@
     Call(Call),
     /// Answer one.
     Answer(Answer),
+    /// Read from a connection that has something to say.
+    Serve(SocketId),
     /// Close connections.
     Close(Close),
     /// End the program with this line.
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -55,6 +55,9 @@
     Tick,
     /// A connection came in at an address of ours.
     Opened(SocketId, Side),
+    /// A connection that came in has something to say, which begins like this.
+    /// It is to be read when [`Output::Serve`] says so.
+    Arrived(SocketId, Vec<u8>),
     /// A connection that came in has ended.
     Closed(SocketId),
     /// So many connections of ours are open without a use, by [`Lane`].
@@ -272,6 +275,19 @@
                 let close = self.sockets.opened(self.now, id, side);
                 return close.into_iter().map(Output::Close).collect();
             }
+            Input::Arrived(id, beginning) => {
+                let class = Class::of_beginning(&beginning);
+                #[cfg(feature = "sabotage")]
+                let class = match self.sabotage {
+                    Some(Sabotage::InOrder) => Class::User,
+                    _ => class,
+                };
+                if class != Class::Report {
+                    return vec![Output::Serve(id)];
+                }
+                self.intake.arrived(self.now, id);
+                return Vec::new();
+            }
             Input::Closed(id) => {
                 self.sockets.ended(id);
                 return Vec::new();
@@ -308,18 +324,22 @@
     pub fn turn(&mut self, now: Now) -> Vec<Output> {
         self.pass(now);
         let turn = self.intake.turn(self.now);
-        for request in turn.late_reports {
-            self.sockets.ended(request.socket);
-            self.close(vec![Close::Came(request.socket)]);
+        let late = turn.late_reports.iter().map(|r| r.socket);
+        for id in late.chain(turn.late_sockets) {
+            self.sockets.ended(id);
+            self.close(vec![Close::Came(id)]);
         }
+        self.out.extend(turn.serve.into_iter().map(Output::Serve));
         for request in turn.late_users {
             self.come_back(request.conn, "too much to do");
         }
         for request in turn.requests {
             self.request(request);
+            self.unsettled = true;
+        }
+        if std::mem::take(&mut self.unsettled) {
+            self.settle();
         }
-        self.unsettled = false;
-        self.settle();
         self.leaves()
     }
 
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -7,7 +7,9 @@
 //! 1. probes, controllers and operators go first, and all of them;
 //! 2. users are taken as they came, so many at a turn, and
 //! 3. besides them so many reports of workers, the newest first: whoever has
-//!    waited for long gives up soon, and comes again elsewhere.
+//!    waited for long gives up soon, and comes again elsewhere;
+//! 4. workers that come over a new connection are not even read as long as
+//!    those that have one are that many.
 //!
 //! What nobody waits for any more is dropped. All once went as they came: a
 //! controller that was behind by the four seconds after which workers give up
@@ -16,7 +18,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::call::{Method, Request, Side};
+use crate::{
+    call::{Method, Request, Side},
+    sockets::SocketId,
+};
 
 /// So many users, and so many reports, are taken at a turn.
 const AT_A_TURN: usize = 8;
@@ -39,6 +44,14 @@
 }
 
 impl Class {
+    /// Who sent a request that begins like this.
+    pub fn of_beginning(bytes: &[u8]) -> Self {
+        match bytes.starts_with(b"POST /checkin") {
+            true => Self::Report,
+            false => Self::User,
+        }
+    }
+
     /// Who sent this request.
     pub fn of(request: &Request) -> Self {
         let path = request.path.trim_start_matches('/');
@@ -78,6 +91,10 @@
     pub late_users: Vec<Request>,
     /// Reports that nobody waits for any more.
     pub late_reports: Vec<Request>,
+    /// New connections of workers to be read.
+    pub serve: Vec<SocketId>,
+    /// Those that nobody waits at any more.
+    pub late_sockets: Vec<SocketId>,
 }
 
 /// All requests that wait.
@@ -86,9 +103,16 @@
     first: VecDeque<Waiting>,
     users: VecDeque<Waiting>,
     reports: VecDeque<Waiting>,
+    /// New connections over which reports come, not read yet.
+    arrived: VecDeque<(Duration, SocketId)>,
 }
 
 impl Intake {
+    /// A report comes over a new connection.
+    pub fn arrived(&mut self, now: Duration, id: SocketId) {
+        self.arrived.push_back((now, id));
+    }
+
     /// A request came in.
     pub fn take(&mut self, now: Duration, class: Class, request: Request) {
         let since = now;
@@ -102,7 +126,10 @@
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.first.is_empty() && self.users.is_empty() && self.reports.is_empty()
+        self.first.is_empty()
+            && self.users.is_empty()
+            && self.reports.is_empty()
+            && self.arrived.is_empty()
     }
 
     /// Takes out what is to be done now.
@@ -129,7 +156,18 @@
         }
         let newest = self.reports.len().saturating_sub(AT_A_TURN);
         let newest = self.reports.drain(newest..).rev().map(|w| w.request);
+        let before = turn.requests.len();
         turn.requests.extend(newest);
+        while let Some((since, id)) = self.arrived.front().copied()
+            && now >= since + REPORT_PATIENCE
+        {
+            self.arrived.pop_front();
+            turn.late_sockets.push(id);
+        }
+        let left = AT_A_TURN - (turn.requests.len() - before);
+        let newest = self.arrived.len().saturating_sub(left);
+        let newest = self.arrived.drain(newest..).rev().map(|(_, id)| id);
+        turn.serve.extend(newest);
         turn
     }
 }
@@ -182,6 +220,28 @@
         }
     }
 
+    #[test]
+    fn those_who_have_a_connection_go_first() {
+        let (mut intake, s) = (Intake::default(), Duration::from_secs);
+        for n in 0..20 {
+            intake.arrived(s(1), SocketId(n));
+        }
+        for n in 0..5 {
+            intake.take(s(2), Class::Report, request(n, Method::Post, "/checkin"));
+        }
+        let ids = |ids: std::ops::Range<u64>| ids.rev().map(SocketId).collect::<Vec<_>>();
+        let turn = intake.turn(s(2));
+        assert_eq!((turn.requests.len(), turn.serve), (5, ids(17..20)));
+        intake.arrived(s(3), SocketId(20));
+        let turn = intake.turn(s(4));
+        let mut newest = vec![SocketId(20)];
+        newest.extend(ids(10..17));
+        assert_eq!((turn.serve, turn.late_sockets), (newest, vec![]));
+        let turn = intake.turn(s(5));
+        assert_eq!((turn.serve, turn.late_sockets.len()), (vec![], 10));
+        assert!(intake.is_empty());
+    }
+
     #[test]
     fn turns_are_those_of_the_model() {
         let mut rng = fastrand::Rng::with_seed(14);
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -38,6 +38,8 @@
     next_conn: Cell<ConnId>,
     /// What serves each connection that came in; dropped, it closes.
     serving: RefCell<HashMap<SocketId, Task<()>>>,
+    /// Connections that have something to say and are not read yet.
+    lobby: RefCell<HashMap<SocketId, Sender<()>>>,
     next_socket: Cell<u64>,
     /// Wakes what gives the state machine its turns.
     due: Sender<()>,
@@ -52,6 +54,15 @@
 /// Forgets that somebody waits for an answer.
 struct Forget<'a>(&'a Runtime, ConnId);
 
+/// Forgets that a connection waits to be read.
+struct Leave<'a>(&'a Runtime, SocketId);
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        self.0.lobby.borrow_mut().remove(&self.1);
+    }
+}
+
 impl Drop for Forget<'_> {
     fn drop(&mut self) {
         self.0.waiting.borrow_mut().remove(&self.1);
@@ -73,6 +84,7 @@
         waiting: RefCell::default(),
         next_conn: Cell::new(0),
         serving: RefCell::default(),
+        lobby: RefCell::default(),
         next_socket: Cell::new(1),
         due,
         kept: Cell::new([0; 3]),
@@ -174,6 +186,11 @@
                     let runtime = self.clone();
                     self.executor.spawn(runtime.make(call)).detach();
                 }
+                Output::Serve(id) => {
+                    if let Some(waiting) = self.lobby.borrow().get(&id) {
+                        let _ = waiting.try_send(());
+                    }
+                }
                 Output::Close(Close::Came(id)) => {
                     self.serving.borrow_mut().remove(&id);
                 }
@@ -200,6 +217,15 @@
         self.input(Input::Reply(call.id, reply));
     }
 
+    /// Waits until a connection is to be read, whose first bytes are these.
+    pub async fn may_read(self: &Rc<Self>, id: SocketId, beginning: Vec<u8>) {
+        let (send, receive) = async_channel::bounded(1);
+        self.lobby.borrow_mut().insert(id, send);
+        let _leave = Leave(self, id);
+        self.input(Input::Arrived(id, beginning));
+        let _ = receive.recv().await;
+    }
+
     /// Puts a request to the state machine and waits for its answer.
     pub async fn request(
         self: &Rc<Self>,
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -24,6 +24,17 @@
 /// one request is decided where the sockets are counted: then this is dropped.
 pub async fn serve(runtime: Rc<Runtime>, id: SocketId, tcp: Async<TcpStream>, side: Side) {
     let stream = Stream::new(tcp);
+    if side == Side::Public {
+        // Reading a request costs more than all that is done until then, so
+        // whoever is behind does not even begin with some.
+        let Some(beginning) = stream.beginning().await else {
+            return;
+        };
+        runtime.may_read(id, beginning).await;
+        if stream.is_gone() {
+            return;
+        }
+    }
     let endpoint = |request| answer(&runtime, id, &stream, request, side);
     let mut server = Server::new(stream.clone(), endpoint);
     loop {
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -39,6 +39,15 @@
         self.allowance.store(bytes, Ordering::Relaxed);
     }
 
+    /// The first bytes that come, left to be read again; none: it was closed.
+    pub async fn beginning(&self) -> Option<Vec<u8>> {
+        let mut bytes = [0; 16];
+        match self.tcp.peek(&mut bytes).await {
+            Ok(0) | Err(_) => None,
+            Ok(n) => Some(bytes[..n].to_vec()),
+        }
+    }
+
     /// Whether nothing unexpected has come in on an idle connection.
     pub fn is_idle(&self) -> bool {
         let peeked = self.tcp.get_ref().peek(&mut [0]);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -139,6 +139,8 @@
     back_at: Duration,
     started: Duration,
     sockets: Sockets,
+    /// What comes over connections that are not read yet.
+    lobby: HashMap<SocketId, Request>,
     /// What came in while it stands still.
     frozen: Vec<Input>,
     /// If it is behind: when it is through with what came in, and with what it
@@ -320,6 +322,7 @@
             back_at: Duration::ZERO,
             started: Duration::ZERO,
             sockets: Sockets::default(),
+            lobby: HashMap::new(),
             frozen: Vec::new(),
             through: [Duration::ZERO; 2],
             turning: false,
@@ -523,6 +526,7 @@
         self.nodes[node].back_at = self.now + RESTART;
         self.nodes[node].sockets = Sockets::default();
         self.nodes[node].frozen.clear();
+        self.nodes[node].lobby.clear();
         self.nodes[node].through = [Duration::ZERO; 2];
         self.nodes[node].turning = false;
         self.watches.retain(|w| w.0 != node);
@@ -609,12 +613,21 @@
             return self.is_cut(asker, node);
         }
         self.askers.insert((node, life, conn), (asker, id));
-        self.request(node, conn, id, method, path, body);
+        let request = Request {
+            conn,
+            socket: id,
+            side: Side::Public,
+            method,
+            path,
+            body,
+        };
+        self.request(node, true, request);
     }
 
     /// A controller closes a connection.
     fn closed(&mut self, node: usize, life: u64, id: SocketId) {
         self.nodes[node].sockets.ends(id);
+        self.nodes[node].lobby.remove(&id);
         let asked = self.askers.iter();
         let asked = asked.filter(|(key, (_, on))| (key.0, key.1, *on) == (node, life, id));
         let asked: Vec<_> = asked.map(|(key, _)| *key).collect();
@@ -894,7 +907,7 @@
         for output in outputs {
             let at = match &output {
                 Output::Call(_) | Output::Answer(_) => self.gets_to(node, 1),
-                Output::Close(_) | Output::End(_) => self.now,
+                Output::Serve(_) | Output::Close(_) | Output::End(_) => self.now,
             };
             if at > self.now {
                 self.at(at, Event::Leaves(node, life, output));
@@ -908,6 +921,12 @@
         match output {
             Output::Call(call) => self.send(node, life, call),
             Output::End(why) => panic!("a controller ends: {why}"),
+            Output::Serve(id) => {
+                // What there was to wait for, it has waited for already.
+                if let Some(request) = self.nodes[node].lobby.remove(&id) {
+                    self.take_in(node, Input::Request(request));
+                }
+            }
             Output::Close(Close::Came(id)) => self.closed(node, life, id),
             Output::Close(Close::Kept(_, count)) => {
                 self.nodes[node].sockets.close_kept(count);
@@ -1138,27 +1157,31 @@
             }
         }
         self.askers.insert((node, life, conn), (asker, socket));
-        self.request(node, conn, socket, Method::Post, "/checkin".into(), body);
-    }
-
-    fn request(
-        &mut self,
-        node: usize,
-        conn: u64,
-        socket: SocketId,
-        method: Method,
-        path: String,
-        body: Vec<u8>,
-    ) {
         let request = Request {
             conn,
             socket,
             side: Side::Public,
-            method,
-            path,
+            method: Method::Post,
+            path: "/checkin".into(),
             body,
         };
-        self.input(node, Input::Request(request));
+        self.request(node, line.is_none(), request);
+    }
+
+    /// A request comes, over a connection that is `fresh` or one that has been
+    /// read from before.
+    fn request(&mut self, node: usize, fresh: bool, request: Request) {
+        if !fresh {
+            return self.input(node, Input::Request(request));
+        }
+        let method = match request.method {
+            Method::Get => "GET",
+            _ => "POST",
+        };
+        let beginning = format!("{method} {}", request.path).into_bytes();
+        let socket = request.socket;
+        self.nodes[node].lobby.insert(socket, request);
+        self.input(node, Input::Arrived(socket, beginning));
     }
 
     fn report_answered(&mut self, report: u64, name: &str, status: u16, body: &[u8]) {
