Two lanes in the process: users and probes go before workers all the way

Cause: users went first only once their request had been read.

Change: daemon's lanes.rs runs two executors in one thread. Turns of the state machine are urgent when somebody urgent waits.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -319,6 +319,11 @@
         self.unsettled || !self.intake.is_empty()
     }
 
+    /// Whether somebody waits for that turn who goes before workers.
+    pub fn is_urgent(&self) -> bool {
+        self.intake.is_urgent()
+    }
+
     /// Answers requests that wait, the most urgent ones if they are many, and
     /// does what all that came in has made possible.
     pub fn turn(&mut self, now: Now) -> Vec<Output> {
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -46,7 +46,7 @@
 impl Class {
     /// Who sent a request that begins like this.
     pub fn of_beginning(bytes: &[u8]) -> Self {
-        match bytes.starts_with(b"POST /checkin") {
+        match is_report(bytes) {
             true => Self::Report,
             false => Self::User,
         }
@@ -63,6 +63,11 @@
     }
 }
 
+/// Whether a request that begins like this is a worker's report.
+pub fn is_report(beginning: &[u8]) -> bool {
+    beginning.starts_with(b"POST /checkin")
+}
+
 /// A request, and when it came.
 #[derive(Debug)]
 struct Waiting {
@@ -132,6 +137,11 @@
             && self.arrived.is_empty()
     }
 
+    /// Whether somebody waits who goes before workers.
+    pub fn is_urgent(&self) -> bool {
+        !self.first.is_empty() || !self.users.is_empty()
+    }
+
     /// Takes out what is to be done now.
     pub fn turn(&mut self, now: Duration) -> Turn {
         let mut turn = Turn::default();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,4 +37,5 @@
 #[cfg(feature = "sabotage")]
 pub use controller::Sabotage;
 pub use controller::{Controller, Input, Now};
+pub use intake::is_report;
 pub use sockets::{Close, SocketId};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod client;
+mod lanes;
 mod logging;
 mod runtime;
 mod server;
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -10,7 +10,7 @@
 };
 
 use async_channel::{Receiver, Sender};
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use async_io::{Async, Timer, block_on};
 use futures_lite::future::yield_now;
 use oliveshift_core::{
@@ -19,7 +19,7 @@
 };
 use oliveshift_wire::settings::Settings;
 
-use crate::{client::Client, server};
+use crate::{client::Client, lanes::Lanes, server};
 
 /// How often the state machine hears that time has passed.
 const TICK: Duration = Duration::from_millis(50);
@@ -30,7 +30,7 @@
 
 /// The process around the state machine.
 pub struct Runtime {
-    executor: LocalExecutor<'static>,
+    lanes: Lanes,
     controller: RefCell<Controller>,
     client: Client,
     started: Instant,
@@ -41,8 +41,8 @@
     /// Connections that have something to say and are not read yet.
     lobby: RefCell<HashMap<SocketId, Sender<()>>>,
     next_socket: Cell<u64>,
-    /// Wakes what gives the state machine its turns.
-    due: Sender<()>,
+    /// Wakes what gives the state machine its turns, urgent ones and others.
+    due: [Sender<()>; 2],
     /// What the state machine knows of the connections that we keep.
     kept: Cell<[usize; 3]>,
     ended: Cell<bool>,
@@ -76,9 +76,10 @@
     let services = &settings.services;
     let peers = settings.peers.iter();
     let node = settings.node.clone();
+    let (urgent, is_urgent) = async_channel::bounded(1);
     let (due, is_due) = async_channel::bounded(1);
     let runtime = Rc::new(Runtime {
-        executor: LocalExecutor::new(),
+        lanes: Lanes::default(),
         client: Client::default(),
         started: Instant::now(),
         waiting: RefCell::default(),
@@ -86,7 +87,7 @@
         serving: RefCell::default(),
         lobby: RefCell::default(),
         next_socket: Cell::new(1),
-        due,
+        due: [urgent, due],
         kept: Cell::new([0; 3]),
         ended: Cell::new(false),
         peers: peers.map(|p| (p.node.clone(), p.addr.into())).collect(),
@@ -96,13 +97,12 @@
     });
     log::info!("{node}: starting, users and workers on {public}, controllers on {internal}");
     let tasks = runtime.clone();
-    block_on(tasks.executor.run(async move {
+    block_on(tasks.lanes.run(async move {
         runtime.spawn_listener(public, Side::Public);
         runtime.spawn_listener(internal, Side::Internal);
-        runtime
-            .executor
-            .spawn(runtime.clone().turns(is_due))
-            .detach();
+        let lanes = &runtime.lanes;
+        lanes.urgent(runtime.clone().turns(is_urgent)).detach();
+        lanes.other(runtime.clone().turns(is_due)).detach();
         let mut ticks = 0u32;
         loop {
             runtime.input(Input::Tick);
@@ -143,33 +143,38 @@
             controller.take(now, Input::Kept(kept));
         }
         let outputs = controller.take(now, input);
-        if controller.is_due() {
-            // Full: it has been woken already.
-            let _ = self.due.try_send(());
-        }
+        self.wake(&controller);
         drop(controller);
         self.put_out(outputs);
     }
 
+    /// Sees to the next turn.
+    fn wake(&self, controller: &Controller) {
+        let [urgent, due] = &self.due;
+        // Full: it has been woken already.
+        if controller.is_urgent() {
+            let _ = urgent.try_send(());
+        } else if controller.is_due() {
+            let _ = due.try_send(());
+        }
+    }
+
     /// Gives the state machine its turns: after all that is ready to come in,
     /// so that it has the choice what goes first when it is behind.
     async fn turns(self: Rc<Self>, is_due: Receiver<()>) {
         while is_due.recv().await.is_ok() {
-            while self.turn() {
-                yield_now().await;
-            }
+            self.turn();
+            yield_now().await;
         }
     }
 
-    /// One turn; true if another one is due.
-    fn turn(self: &Rc<Self>) -> bool {
+    fn turn(self: &Rc<Self>) {
         let now = self.now();
         let mut controller = self.controller.borrow_mut();
         let outputs = controller.turn(now);
-        let again = controller.is_due();
+        self.wake(&controller);
         drop(controller);
         self.put_out(outputs);
-        again
     }
 
     /// Does what the state machine says.
@@ -183,8 +188,12 @@
                     }
                 }
                 Output::Call(call) => {
-                    let runtime = self.clone();
-                    self.executor.spawn(runtime.make(call)).detach();
+                    let is_order = matches!(call.to, Target::Worker(_));
+                    let make = self.clone().make(call);
+                    match is_order {
+                        true => self.lanes.other(make).detach(),
+                        false => self.lanes.urgent(make).detach(),
+                    }
                 }
                 Output::Serve(id) => {
                     if let Some(waiting) = self.lobby.borrow().get(&id) {
@@ -217,6 +226,23 @@
         self.input(Input::Reply(call.id, reply));
     }
 
+    /// Goes on with a connection among what can wait.
+    pub fn serve_later(&self, id: SocketId, serve: impl Future<Output = ()> + 'static) {
+        let serve = self.lanes.other(serve);
+        // The one that calls this ends with this call.
+        if let Some(before) = self.serving.borrow_mut().insert(id, serve) {
+            before.detach();
+        }
+    }
+
+    /// A connection is at its end, and what served it, too.
+    pub fn served(self: &Rc<Self>, id: SocketId) {
+        if let Some(serve) = self.serving.borrow_mut().remove(&id) {
+            serve.detach();
+        }
+        self.input(Input::Closed(id));
+    }
+
     /// Waits until a connection is to be read, whose first bytes are these.
     pub async fn may_read(self: &Rc<Self>, id: SocketId, beginning: Vec<u8>) {
         let (send, receive) = async_channel::bounded(1);
@@ -254,7 +280,7 @@
 
     fn spawn_listener(self: &Rc<Self>, addr: SocketAddrV4, side: Side) {
         let runtime = self.clone();
-        self.executor.spawn(runtime.listen(addr, side)).detach();
+        self.lanes.urgent(runtime.listen(addr, side)).detach();
     }
 
     async fn listen(self: Rc<Self>, addr: SocketAddrV4, side: Side) {
@@ -271,13 +297,8 @@
                     let id = SocketId(self.next_socket.get());
                     self.next_socket.set(id.0 + 1);
                     let runtime = self.clone();
-                    let serve = async move {
-                        server::serve(runtime.clone(), id, tcp, side).await;
-                        // It is at its end, so there is nothing to cancel.
-                        runtime.serving.borrow_mut().remove(&id);
-                        runtime.input(Input::Closed(id));
-                    };
-                    let serve = self.executor.spawn(serve);
+                    let serve = server::begin(runtime, id, tcp, side);
+                    let serve = self.lanes.urgent(serve);
                     self.serving.borrow_mut().insert(id, serve);
                     self.input(Input::Opened(id, side));
                 }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -8,7 +8,7 @@
 use http_types::{
     Error, Method as HttpMethod, Request as HttpRequest, Response, StatusCode, headers,
 };
-use oliveshift_core::{Method, Side, SocketId};
+use oliveshift_core::{Method, Side, SocketId, is_report};
 use oliveshift_wire::{codec::MAX_BODY, encode, job::Refusal};
 
 use crate::{runtime::Runtime, stream::Stream};
@@ -20,22 +20,40 @@
 /// How long the other side gets to read a last answer before we close.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// Serves one connection until it ends. How long it may be idle or take over
-/// one request is decided where the sockets are counted: then this is dropped.
-pub async fn serve(runtime: Rc<Runtime>, id: SocketId, tcp: Async<TcpStream>, side: Side) {
+/// Begins to serve a connection. That of a worker that reports waits until it
+/// may be read, and goes on among what is not urgent.
+pub async fn begin(runtime: Rc<Runtime>, id: SocketId, tcp: Async<TcpStream>, side: Side) {
     let stream = Stream::new(tcp);
-    if side == Side::Public {
-        // Reading a request costs more than all that is done until then, so
-        // whoever is behind does not even begin with some.
-        let Some(beginning) = stream.beginning().await else {
-            return;
-        };
-        runtime.may_read(id, beginning).await;
-        if stream.is_gone() {
-            return;
-        }
+    if side == Side::Internal {
+        serve(&runtime, id, &stream, side).await;
+        return runtime.served(id);
+    }
+    // Reading a request costs more than all that is done until then, so
+    // whoever is behind does not even begin with some.
+    let Some(beginning) = stream.beginning().await else {
+        return runtime.served(id);
+    };
+    let is_report = is_report(&beginning);
+    runtime.may_read(id, beginning).await;
+    if stream.is_gone() {
+        return runtime.served(id);
     }
-    let endpoint = |request| answer(&runtime, id, &stream, request, side);
+    if is_report {
+        let later = runtime.clone();
+        runtime.serve_later(id, async move {
+            serve(&later, id, &stream, side).await;
+            later.served(id);
+        });
+    } else {
+        serve(&runtime, id, &stream, side).await;
+        runtime.served(id);
+    }
+}
+
+/// Serves one connection until it ends. How long it may be idle or take over
+/// one request is decided where the sockets are counted: then this is dropped.
+async fn serve(runtime: &Rc<Runtime>, id: SocketId, stream: &Stream, side: Side) {
+    let endpoint = |request| answer(runtime, id, stream, request, side);
     let mut server = Server::new(stream.clone(), endpoint);
     loop {
         stream.allow(MAX_HEAD + MAX_BODY);
