Whoever is behind acts at most every 50 ms upon what came in

Change: as long as requests wait, the controller acts upon what came in once in 50 ms. On time nothing waits, and it acts after each input as before.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -68,6 +68,9 @@
     Reply(CallId, Reply),
 }
 
+/// Whoever is behind acts upon what came in once in this time.
+const SETTLE_EVERY: Duration = Duration::from_millis(50);
+
 /// Ways to break the code on purpose, so that tests can show that they would
 /// notice.
 #[cfg(feature = "sabotage")]
@@ -145,8 +148,9 @@
     pub(crate) upgrade: Upgrade,
     pub(crate) sockets: Sockets,
     intake: Intake,
-    /// Something happened since the last turn.
+    /// Something happened since it was last acted upon, and when that was.
     unsettled: bool,
+    settled_at: Duration,
     pub(crate) tuning: Tuning,
     pub(crate) incarnation: u64,
     pub(crate) rng: fastrand::Rng,
@@ -205,6 +209,7 @@
             sockets: Sockets::new(&settings),
             intake: Intake::default(),
             unsettled: false,
+            settled_at: Duration::ZERO,
             lowered: settings.params.state.lowered(),
             program: Level::OWN,
             upgrade: Upgrade::default(),
@@ -342,7 +347,11 @@
             self.request(request);
             self.unsettled = true;
         }
-        if std::mem::take(&mut self.unsettled) {
+        // Acting costs the same for one input and for many.
+        let waits = !self.intake.is_empty() && self.now < self.settled_at + SETTLE_EVERY;
+        if self.unsettled && !waits {
+            self.unsettled = false;
+            self.settled_at = self.now;
             self.settle();
         }
         self.leaves()
