--- a/crates/cwl/src/needs.rs
+++ b/crates/cwl/src/needs.rs
@@ -207,6 +207,17 @@
         Ok((cores, ram))
     }
 
+    /// Whether processors and memory are the same whatever goes in.
+    pub fn resources_are_plain(&self) -> bool {
+        match self.get("ResourceRequirement") {
+            Some(Need::Resources(asked)) => {
+                let given = [&asked.cores, &asked.ram];
+                given.into_iter().flatten().all(Template::is_plain)
+            }
+            _ => true,
+        }
+    }
+
     /// Variables of the environment.
     pub fn environment(&self) -> &[(String, Template)] {
         match self.get("EnvVarRequirement") {
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -298,6 +298,24 @@
     faults
 }
 
+/// Draws a day on which controllers have too little processor time among the
+/// usual troubles.
+pub fn draw_slow(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x736c_6f77);
+    let ms = Duration::from_millis;
+    for node in 0..nodes {
+        let from = ms(rng.u64(15_000..110_000));
+        faults.push(Fault::Slow {
+            node,
+            each: ms(rng.u64(40..700)),
+            from,
+            until: (from + ms(rng.u64(10_000..60_000))).min(end),
+        });
+    }
+    faults
+}
+
 /// How long a controller takes to come back.
 pub const RESTART: Duration = Duration::from_secs(5);
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,6 +14,6 @@
 pub mod worker;
 pub mod world;
 
-pub use faults::{Fault, draw, draw_behind, draw_roll};
+pub use faults::{Fault, draw, draw_behind, draw_roll, draw_slow};
 pub use rules::{Broken, Rules};
 pub use world::{Load, Outcome, Size, World};
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use oliveshift_core::Sabotage;
-use oliveshift_testkit::{Broken, Fault, Outcome, Size, World, draw, draw_behind, draw_roll};
+use oliveshift_testkit::{
+    Broken, Fault, Outcome, Size, World, draw, draw_behind, draw_roll, draw_slow,
+};
 
 const S: Duration = Duration::from_secs(1);
 
@@ -228,9 +230,10 @@
 }
 
 /// Plays a day on which controllers are behind: what reaches them and what they
-/// send takes seconds, and direct orders overtake their answers.
-fn good_behind(seed: u64) {
-    let faults = draw_behind(seed, 3, S * 180);
+/// send takes seconds, and direct orders overtake their answers; or they have
+/// too little processor time, so that requests wait for their turns.
+fn good_behind(seed: u64, draw: impl Fn(u64, usize, Duration) -> Vec<Fault>) {
+    let faults = draw(seed, 3, S * 180);
     let text = format!("{faults:?}");
     let outcome = day(seed, faults, None);
     assert_eq!(outcome.broken, [], "seed {seed}: {text}");
@@ -241,7 +244,10 @@
 #[test]
 fn drawn_days_behind() {
     for seed in 200..240 {
-        good_behind(seed);
+        good_behind(seed, draw_behind);
+    }
+    for seed in 300..330 {
+        good_behind(seed, draw_slow);
     }
 }
 
@@ -256,7 +262,8 @@
         good_roll(seed, draw_roll(seed, 3, S * 180));
     }
     for seed in 1000..1600 {
-        good_behind(seed);
+        good_behind(seed, draw_behind);
+        good_behind(seed, draw_slow);
     }
     for seed in 0..24 {
         let faults = draw(seed, 3, S * 140);
