workflow: runs as a state machine, with records, takeover and fenced writes

Change: crates/workflow, without I/O. flow: one run; steps whose members and needs are known go in at once, awaiting what comes before, the rest when their inputs are there. active: ids are written before they are used, a failure before what runs is ended, the end before it is told. ranges: instances lease ranges of runs and claim those of whoever is gone; every write carries the claim's version. service: budgets, creation, takeover, cancellation. api: requests and answers of the state service and the users' API.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,4 +16,5 @@
 
 pub use faults::{Fault, draw, draw_behind, draw_roll, draw_slow};
 pub use rules::{Broken, Rules};
+pub use state::{Done, Limits as StateLimits, State};
 pub use world::{Load, Outcome, Size, World};
--- /dev/null
+++ b/crates/workflow/src/api.rs
@@ -0,0 +1,110 @@
+//! Requests to the state service and the users' API as they go over HTTP, and
+//! what answers mean.
+
+use std::time::Duration;
+
+use oliveshift_wire::{
+    decode, encode,
+    job::{JobPhase, JobStatus, Refusal},
+    state::{LeaseGrant, NewLease, Page, TxnAnswer},
+};
+
+use crate::{
+    active::JobReply,
+    service::{StoreCall, StoreReply},
+};
+
+/// A request: method, path and body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// The body; empty: none.
+    pub body: Vec<u8>,
+}
+
+/// An answer, or none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Status, body, and when to come back.
+    Answer(u16, Vec<u8>, Option<Duration>),
+    /// It surely never left.
+    NotSent,
+    /// None came in time.
+    Lost,
+}
+
+/// What the state service is to be sent.
+pub fn store_request(call: &StoreCall) -> Request {
+    let (method, path, body) = match call {
+        StoreCall::Page { prefix, after } => {
+            let after = after.as_ref().map(|a| format!("&after={a}"));
+            let path = format!("/kv?starts={prefix}{}", after.unwrap_or_default());
+            ("GET", path, Vec::new())
+        }
+        StoreCall::Txn(txn) => ("POST", "/multi".to_owned(), encode(txn)),
+        StoreCall::NewLease(life) => {
+            let ttl_ms = life.as_millis() as u64;
+            ("POST", "/holds".to_owned(), encode(&NewLease { ttl_ms }))
+        }
+        StoreCall::Touch(lease) => ("POST", format!("/holds/{lease}/touch"), Vec::new()),
+    };
+    Request { method, path, body }
+}
+
+/// What the state service's answer means.
+pub fn store_reply(call: &StoreCall, reply: Reply) -> StoreReply {
+    let (status, body) = match reply {
+        Reply::Answer(status, body, _) => (status, body),
+        Reply::NotSent => return StoreReply::Refused,
+        Reply::Lost => return StoreReply::Lost,
+    };
+    match (call, status) {
+        (_, 429 | 503) => StoreReply::Refused,
+        (StoreCall::Page { .. }, 200) => match decode::<Page>(&body) {
+            Ok(page) => StoreReply::Page(page.items, page.more),
+            Err(_) => StoreReply::Refused,
+        },
+        (StoreCall::Txn(_), 200) => match decode::<TxnAnswer>(&body) {
+            Ok(answer) => StoreReply::Done(answer.revision),
+            Err(_) => StoreReply::Lost,
+        },
+        // A lease that has ended under the transaction, too.
+        (StoreCall::Txn(_), 400 | 409) => StoreReply::Failed,
+        (StoreCall::NewLease(_), 200) => match decode::<LeaseGrant>(&body) {
+            Ok(grant) => StoreReply::Lease(grant.lease),
+            Err(_) => StoreReply::Refused,
+        },
+        (StoreCall::Touch(_), 200) => StoreReply::Touched(true),
+        (StoreCall::Touch(_), 404) => StoreReply::Touched(false),
+        _ => StoreReply::Lost,
+    }
+}
+
+/// What the users' API's answer means.
+pub fn job_reply(reply: Reply) -> JobReply {
+    let (status, body, after) = match reply {
+        Reply::Answer(status, body, after) => (status, body, after),
+        Reply::NotSent | Reply::Lost => return JobReply::Later(None),
+    };
+    match status {
+        201 => JobReply::New,
+        200 => match decode::<JobStatus>(&body) {
+            Ok(status) => JobReply::Known(status.phase),
+            Err(_) => JobReply::Later(None),
+        },
+        404 => JobReply::Unknown,
+        400 | 422 => match decode::<Refusal>(&body) {
+            Ok(refusal) => JobReply::Refused(refusal.error),
+            Err(_) => JobReply::Refused("no reason given".to_owned()),
+        },
+        _ => JobReply::Later(after),
+    }
+}
+
+/// Whether a phase stays.
+pub fn is_over(phase: JobPhase) -> bool {
+    matches!(phase, JobPhase::Done | JobPhase::Cancelled)
+}
--- a/crates/workflow/src/flow.rs
+++ b/crates/workflow/src/flow.rs
@@ -60,7 +60,7 @@
     /// A task.
     Task { key: JobKey, index: u32 },
     /// A workflow in the workflow.
-    Flow(usize),
+    Flow,
     /// It is over.
     Over(Object),
 }
@@ -131,7 +131,7 @@
         workflow: Arc<Workflow>,
         inputs: Object,
         parent: Option<(usize, usize, usize)>,
-    ) -> usize {
+    ) {
         let states = workflow.steps.iter().map(|_| State::Waiting).collect();
         self.flows.push(Flow {
             path,
@@ -141,7 +141,6 @@
             parent,
             over: false,
         });
-        self.flows.len() - 1
     }
 
     /// Why it failed, if it did.
@@ -176,6 +175,11 @@
         self.failure.get_or_insert(Failure { step, reason });
     }
 
+    /// A job will never be done.
+    pub fn refused(&mut self, key: &JobKey, reason: String) {
+        self.fails(&key.step, reason);
+    }
+
     /// Goes on as far as it can and returns what is to be submitted.
     pub fn advance(&mut self) -> Vec<Work> {
         let mut work = Vec::new();
@@ -218,7 +222,10 @@
                 }
             }
             State::Begun { shape, parts, .. } => {
-                if !parts.iter().all(|p| matches!(p, Part::Over(_) | Part::Skipped)) {
+                if !parts
+                    .iter()
+                    .all(|p| matches!(p, Part::Over(_) | Part::Skipped))
+                {
                     return false;
                 }
                 let outputs = gather(step, shape, parts);
@@ -243,9 +250,7 @@
             Source::Step(name, output) => {
                 let s = flow.workflow.steps.iter().position(|s| s.name == *name)?;
                 match &flow.states[s] {
-                    State::Done(outputs) => {
-                        Some(outputs.get(output).cloned().unwrap_or_default())
-                    }
+                    State::Done(outputs) => Some(outputs.get(output).cloned().unwrap_or_default()),
                     _ => None,
                 }
             }
@@ -325,7 +330,8 @@
                         false => path.clone(),
                     };
                     let inputs = member.inputs.clone();
-                    Ok(Part::Flow(self.open(inner_path, inner.clone(), inputs, Some((f, s, m)))))
+                    self.open(inner_path, inner.clone(), inputs, Some((f, s, m)));
+                    Ok(Part::Flow)
                 }
             };
             match part {
@@ -462,7 +468,7 @@
                             Part::Task { key, .. } => {
                                 keys.insert(key.clone());
                             }
-                            Part::Flow(_) => return None,
+                            Part::Flow => return None,
                             Part::Over(_) | Part::Skipped => {}
                         }
                     }
