oliveshift cwl check and plan; fields of Placement count each by itself

Need: a partner sees what is wrong with a document, and what would be submitted for it, before it is handed in. The plan is a tree for people, JSON for programs; exit code 1 says that the document is wrong, 2 that it can't be read.

The plan of the first example showed that a tool's hint took its workflow's team away: Placement is merged field by field now.

--- a/crates/cwl/src/needs.rs
+++ b/crates/cwl/src/needs.rs
@@ -94,6 +94,26 @@
     pub gpus: Option<f64>,
 }
 
+impl Placement {
+    /// This within another one, which counts where this says nothing.
+    fn within(&self, outer: &Self) -> Self {
+        let inner = self.clone();
+        let outer = outer.clone();
+        Self {
+            team: inner.team.or(outer.team),
+            class: inner.class.or(outer.class),
+            urgency: inner.urgency.or(outer.urgency),
+            deadline_s: inner.deadline_s.or(outer.deadline_s),
+            zone: inner.zone.or(outer.zone),
+            types: inner.types.or(outer.types),
+            spot: inner.spot.or(outer.spot),
+            estimate_s: inner.estimate_s.or(outer.estimate_s),
+            image_gb: inner.image_gb.or(outer.image_gb),
+            gpus: inner.gpus.or(outer.gpus),
+        }
+    }
+}
+
 /// The classes of requirements and what becomes of them, by name.
 type Classes = BTreeMap<&'static str, Need>;
 
@@ -153,7 +173,17 @@
     pub fn within(&self, outer: &Needs) -> Self {
         let merge = |outer: &Classes, inner: &Classes| {
             let mut all = outer.clone();
-            all.extend(inner.iter().map(|(c, n)| (*c, n.clone())));
+            for (class, need) in inner {
+                let need = match (all.get(class), need) {
+                    // Whoever says how long a step takes does not mean to take
+                    // back which team pays.
+                    (Some(Need::Placement(outer)), Need::Placement(inner)) => {
+                        Need::Placement(inner.within(outer))
+                    }
+                    (_, need) => need.clone(),
+                };
+                all.insert(class, need);
+            }
             all
         };
         Self {
--- /dev/null
+++ b/crates/daemon/src/cwl.rs
@@ -0,0 +1,231 @@
+//! `oliveshift cwl`: looks at CWL documents before they are handed in.
+
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use clap::{Args, Subcommand};
+use oliveshift_cwl::{
+    Fault,
+    document::Process,
+    load::{self, Resolver},
+};
+use oliveshift_workflow::plan::{Plan, Planned, plan};
+use termtree::Tree;
+use thiserror::Error;
+
+/// What can be done with a document.
+#[derive(Debug, Subcommand)]
+pub enum Cwl {
+    /// Checks a document, and its inputs if they are given.
+    Check {
+        #[command(flatten)]
+        document: Document,
+        /// The inputs (YAML or JSON).
+        inputs: Option<PathBuf>,
+    },
+    /// Shows what would be submitted for a document with these inputs.
+    Plan {
+        #[command(flatten)]
+        document: Document,
+        /// The inputs (YAML or JSON).
+        inputs: PathBuf,
+        /// For programs.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// A document.
+#[derive(Debug, Args)]
+pub struct Document {
+    /// The document (CWL v1.2), or one process of it: `FILE#NAME`.
+    file: String,
+    /// The directory that the document and all that it names are in; without
+    /// it, that of the document.
+    #[arg(long, value_name = "DIR")]
+    root: Option<PathBuf>,
+}
+
+/// Why there is nothing to show. The exit code says which kind it is.
+#[derive(Debug, Error)]
+enum Trouble {
+    /// The document or its inputs are wrong: 1.
+    #[error("{0}")]
+    Fault(#[from] Fault),
+    /// The inputs don't fit the document: 1.
+    #[error("{0}")]
+    Plan(String),
+    /// A file can't be read: 2.
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    /// It is not where it has to be: 2.
+    #[error("{0} is not below {1}: name the directory of all documents by --root")]
+    Outside(String, String),
+}
+
+impl Trouble {
+    fn code(&self) -> ExitCode {
+        match self {
+            Self::Fault(_) | Self::Plan(_) => ExitCode::from(1),
+            Self::Read(..) | Self::Outside(..) => ExitCode::from(2),
+        }
+    }
+}
+
+/// Documents below a directory.
+struct Directory(PathBuf);
+
+impl Resolver for Directory {
+    fn read(&self, path: &str) -> Result<String, String> {
+        std::fs::read_to_string(self.0.join(path)).map_err(|e| e.to_string())
+    }
+}
+
+/// Carries a command out.
+pub fn run(command: &Cwl) -> ExitCode {
+    let done = match command {
+        Cwl::Check { document, inputs } => check(document, inputs.as_deref()),
+        Cwl::Plan {
+            document,
+            inputs,
+            json,
+        } => show(document, inputs, *json),
+    };
+    match done {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(trouble) => {
+            eprintln!("oliveshift: {trouble}");
+            trouble.code()
+        }
+    }
+}
+
+fn read(document: &Document) -> Result<Process, Trouble> {
+    let (file, name) = match document.file.split_once('#') {
+        Some((file, name)) => (file, Some(name)),
+        None => (document.file.as_str(), None),
+    };
+    let file = Path::new(file);
+    // Said here, with the system's reason, rather than by the resolver.
+    let unread = |e| Trouble::Read(file.display().to_string(), e);
+    let whole = file.canonicalize().map_err(unread)?;
+    let root = match &document.root {
+        Some(root) => {
+            let unread = |e| Trouble::Read(root.display().to_string(), e);
+            root.canonicalize().map_err(unread)?
+        }
+        None => whole.parent().map(Path::to_owned).unwrap_or_default(),
+    };
+    let Ok(path) = whole.strip_prefix(&root) else {
+        let names = (file.display().to_string(), root.display().to_string());
+        return Err(Trouble::Outside(names.0, names.1));
+    };
+    let mut path = path.to_string_lossy().into_owned();
+    if let Some(name) = name {
+        path = format!("{path}#{name}");
+    }
+    Ok(load::load(&Directory(root), &path)?)
+}
+
+fn read_inputs(file: &Path) -> Result<serde_json::Value, Trouble> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| Trouble::Read(name.clone(), e))?;
+    Ok(load::values(&name, &text)?.to_value())
+}
+
+fn check(document: &Document, inputs: Option<&Path>) -> Result<String, Trouble> {
+    let process = read(document)?;
+    let what = match &process {
+        Process::Tool(_) => "a command line tool".to_owned(),
+        Process::Expression(_) => "an expression".to_owned(),
+        Process::Workflow(workflow) => format!("a workflow of {} steps", workflow.steps.len()),
+    };
+    let common = process.common();
+    let inputs = match inputs {
+        Some(inputs) => {
+            plan(&process, &read_inputs(inputs)?).map_err(Trouble::Plan)?;
+            ", and so are the inputs"
+        }
+        None => "",
+    };
+    let takes = common
+        .inputs
+        .iter()
+        .map(|i| format!("{} ({})", i.name, i.kind));
+    let gives = common
+        .outputs
+        .iter()
+        .map(|o| format!("{} ({})", o.name, o.kind));
+    let list = |names: Vec<String>| match names.is_empty() {
+        true => "nothing".to_owned(),
+        false => names.join(", "),
+    };
+    Ok(format!(
+        "{}: {what}, is good{inputs}\n  takes {}\n  gives {}",
+        common.id,
+        list(takes.collect()),
+        list(gives.collect())
+    ))
+}
+
+fn show(document: &Document, inputs: &Path, json: bool) -> Result<String, Trouble> {
+    let plan = plan(&read(document)?, &read_inputs(inputs)?).map_err(Trouble::Plan)?;
+    if json {
+        let text = serde_json::to_string_pretty(&plan);
+        return text.map_err(|e| Trouble::Plan(e.to_string()));
+    }
+    Ok(tree(&plan).to_string().trim_end().to_owned())
+}
+
+/// The plan as a tree: jobs below the last of those that they await.
+fn tree(plan: &Plan) -> Tree<String> {
+    let mut tree = Tree::new(plan.name.clone());
+    for (i, job) in plan.jobs.iter().enumerate() {
+        if job.awaits.is_empty() {
+            tree.push(branch(plan, i));
+        }
+    }
+    for later in &plan.later {
+        tree.push(Tree::new(format!("{}: {}", later.step, later.why)));
+    }
+    tree
+}
+
+fn branch(plan: &Plan, job: usize) -> Tree<String> {
+    let mut tree = Tree::new(line(&plan.jobs[job]));
+    for (i, other) in plan.jobs.iter().enumerate() {
+        let place = |step: &String| plan.jobs.iter().position(|j| j.step == *step);
+        let last = other.awaits.iter().filter_map(place).max();
+        // Those behind it in the list only, so that this comes to an end.
+        if last == Some(job) && i > job {
+            tree.push(branch(plan, i));
+        }
+    }
+    tree
+}
+
+fn line(job: &Planned) -> String {
+    let tasks = match job.tasks {
+        1 => "1 task".to_owned(),
+        n => format!("{n} tasks"),
+    };
+    let team = job.team.as_ref().map(|t| format!(", team {t}"));
+    let awaits = match job.awaits.is_empty() {
+        true => String::new(),
+        false => format!("; awaits {}", job.awaits.join(", ")),
+    };
+    format!(
+        "{}: {tasks} of {} CPUs and {:.1} GB, {}, {}{}{awaits}",
+        job.step,
+        job.cpus,
+        job.memory_gb,
+        job.image,
+        job.urgency,
+        team.unwrap_or_default()
+    )
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod client;
+mod cwl;
 mod lanes;
 mod logging;
 mod runtime;
@@ -47,6 +48,9 @@
     /// Asks a running controller.
     #[command(subcommand)]
     Admin(admin::Admin),
+    /// Looks at CWL documents.
+    #[command(subcommand)]
+    Cwl(cwl::Cwl),
 }
 
 /// Why the program can't start.
@@ -96,6 +100,7 @@
     let cli = Cli::parse();
     let file = match (&cli.command, &cli.run.config) {
         (Some(Command::Admin(command)), _) => return admin::run(command),
+        (Some(Command::Cwl(command)), _) => return cwl::run(command),
         (Some(Command::Check { file }), _) | (None, Some(file)) => file,
         // `clap` asks for one of both.
         (None, None) => return ExitCode::from(2),
--- /dev/null
+++ b/crates/daemon/tests/cwl.rs
@@ -0,0 +1,103 @@
+//! `oliveshift cwl` as people use it, on the examples that are shipped.
+
+use std::process::Command;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_oliveshift");
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl");
+
+/// Exit code, output and error.
+fn cwl(args: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(PROGRAM)
+        .arg("cwl")
+        .args(args)
+        .current_dir(EXAMPLES)
+        .output()
+        .expect("the program runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (
+        output.status.code(),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
+}
+
+#[test]
+fn a_newcomer_checks_and_plans_the_examples() {
+    for name in ["sheet-to-portal", "waveform-to-catalog"] {
+        let (document, inputs) = (format!("{name}.cwl"), format!("{name}.inputs.yaml"));
+        let (code, out, err) = cwl(&["check", &document, &inputs]);
+        assert_eq!((code, err.as_str()), (Some(0), ""));
+        assert!(
+            out.contains("a workflow of 4 steps, is good, and so are the inputs"),
+            "{out}"
+        );
+    }
+    let (code, out, _) = cwl(&["plan", "sheet-to-portal.cwl", "sheet-to-portal.inputs.yaml"]);
+    assert_eq!(code, Some(0));
+    let plan = "main
+├── split: 2 tasks of 1 CPUs and 3.1 GB, imaging/tiles, low, team transcription
+│   └── check: 4 tasks of 2 CPUs and 6.2 GB, imaging/color, low, team transcription; awaits split
+│       └── match: 1 task of 2 CPUs and 6.2 GB, imaging/taxa, normal, team transcription; awaits check
+└── publish: whether it runs: known after match
+";
+    assert_eq!(out, plan);
+    let json = cwl(&[
+        "plan",
+        "--json",
+        "waveform-to-catalog.cwl",
+        "waveform-to-catalog.inputs.yaml",
+    ]);
+    let plan: serde_json::Value = serde_json::from_str(&json.1).expect("JSON");
+    assert_eq!(
+        plan["jobs"][2]["awaits"],
+        serde_json::json!(["repair", "survey"])
+    );
+    assert_eq!(plan["later"], serde_json::json!([]));
+}
+
+#[test]
+fn exit_codes_tell_what_is_wrong() {
+    let cases: [(&[&str], i32, &str); 6] = [
+        (
+            &["check", "no-such-file.cwl"],
+            2,
+            "no-such-file.cwl: No such file",
+        ),
+        (
+            &["check", "sheet-to-portal.cwl#nobody"],
+            1,
+            "there is no process `nobody`",
+        ),
+        (
+            &["check", "sheet-to-portal.inputs.yaml"],
+            1,
+            "sheet-to-portal.inputs.yaml:2: `cwlVersion` is missing",
+        ),
+        (
+            &[
+                "check",
+                "sheet-to-portal.cwl",
+                "waveform-to-catalog.inputs.yaml",
+            ],
+            1,
+            "sheets: ",
+        ),
+        (
+            &["check", "--root", "tools", "sheet-to-portal.cwl"],
+            2,
+            "is not below ",
+        ),
+        (&["plan", "sheet-to-portal.cwl"], 2, "Usage"),
+    ];
+    for (args, code, why) in cases {
+        let (got, out, err) = cwl(args);
+        assert_eq!((got, out.as_str()), (Some(code), ""), "{err}");
+        assert!(err.contains(why), "{err}");
+    }
+    let (code, out, _) = cwl(&["check", "--root", ".", "tools/trace-repair.cwl"]);
+    assert_eq!(code, Some(0));
+    assert!(
+        out.contains("takes trace (File)\n  gives repaired (File)"),
+        "{out}"
+    );
+}
--- a/crates/workflow/src/flow.rs
+++ b/crates/workflow/src/flow.rs
@@ -175,6 +175,40 @@
         self.failure.get_or_insert(Failure { step, reason });
     }
 
+    /// Steps that have not begun, and what they wait for.
+    pub fn outstanding(&self) -> impl Iterator<Item = (String, String)> {
+        self.flows.iter().enumerate().flat_map(move |(f, flow)| {
+            let waits = flow.workflow.steps.iter().zip(&flow.states);
+            let waits = waits.filter(|(_, state)| matches!(state, State::Waiting));
+            waits.map(move |(step, _)| (self.path(f, step), self.waits_for(f, step)))
+        })
+    }
+
+    fn waits_for(&self, f: usize, step: &Step) -> String {
+        let flow = &self.flows[f];
+        let before = step.inputs.iter().flat_map(|i| &i.link.sources);
+        let before = before.filter_map(|source| match source {
+            Source::Step(name, _) => Some(name),
+            Source::Input(_) => None,
+        });
+        let open = |name: &&String| {
+            let s = flow.workflow.steps.iter().position(|s| s.name == **name);
+            s.is_some_and(|s| !matches!(flow.states[s], State::Done(_)))
+        };
+        let before: BTreeSet<&str> = before.filter(open).map(String::as_str).collect();
+        let before: Vec<_> = before.into_iter().collect();
+        let why = match &step.run {
+            _ if step.when.is_some() => "whether it runs",
+            Process::Tool(_) => "how many tasks, and what they need",
+            Process::Expression(_) => "what it computes",
+            Process::Workflow(_) => "its steps",
+        };
+        match before.as_slice() {
+            [] => format!("{why}: known once files have been read"),
+            before => format!("{why}: known after {}", before.join(", ")),
+        }
+    }
+
     /// A job will never be done.
     pub fn refused(&mut self, key: &JobKey, reason: String) {
         self.fails(&key.step, reason);
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -30,6 +30,28 @@
     placement: Placement,
 }
 
+impl Needed {
+    /// Processors.
+    pub fn cpus(&self) -> f64 {
+        self.cores
+    }
+
+    /// Memory, in GB.
+    pub fn memory_gb(&self) -> f64 {
+        self.ram_mib / 1024.0
+    }
+
+    /// The image.
+    pub fn image(&self) -> &str {
+        &self.image
+    }
+
+    /// How it is placed and ordered.
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+}
+
 /// What a member of a step needs. Without inputs only what depends on none of
 /// them can be told; `None` otherwise.
 ///
@@ -79,9 +101,9 @@
 ) -> JobSpec {
     let Needed {
         cores,
-        ram_mib,
         image,
         placement,
+        ..
     } = needed;
     let text = |given: &Option<String>, other: &String| given.as_ref().unwrap_or(other).clone();
     JobSpec {
@@ -97,7 +119,7 @@
         tasks,
         cpus: *cores,
         gpus: placement.gpus.unwrap_or(0.0),
-        memory_gb: ram_mib / 1024.0,
+        memory_gb: needed.memory_gb(),
         image: image.clone(),
         image_gb: placement.image_gb.unwrap_or(IMAGE_GB),
         types: placement.types.clone(),
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 pub mod flow;
 pub mod job;
+pub mod plan;
 mod ranges;
 pub mod records;
 pub mod service;
