oliveshift workflows: CWL runs by the GA4GH Workflow Execution Service 1.1

Change: wire::wes has the types; the daemon serves service-info, runs (multipart, paged list, status, log, cancel) in JSON, with settings in TOML that are checked as a whole. A directory stands for the object store until the agent comes. Retry-After of the users' API is obeyed.

Tests over loopback against stand-ins of the state service and the users' API: the process is killed when its first job has been taken and started again: the run completes, each step had one job; a run that fails ends once with the step and the reason, a cancelled one is CANCELED, wrong inputs are refused with their place.

--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -9,7 +9,10 @@
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt};
-use http_types::{Method as HttpMethod, Request, Url, headers::CONNECTION};
+use http_types::{
+    Method as HttpMethod, Request, Url,
+    headers::{CONNECTION, RETRY_AFTER},
+};
 use oliveshift_core::{Call, Method, Reply, sockets::Lane};
 
 use crate::stream::Stream;
@@ -37,30 +40,35 @@
 impl Client {
     /// Makes a request and says what came of it.
     pub async fn call(&self, addr: SocketAddr, call: &Call) -> Reply {
+        self.call_told(addr, call).await.0
+    }
+
+    /// The same, and when to come back if that was said.
+    pub async fn call_told(&self, addr: SocketAddr, call: &Call) -> (Reply, Option<Duration>) {
         let started = Instant::now();
         let (stream, kept) = match self.take(addr) {
             Some(stream) => (stream, true),
             None => match self.connect(addr, call.timeout).await {
                 Some(stream) => (stream, false),
-                None => return Reply::NotSent,
+                None => return (Reply::NotSent, None),
             },
         };
         let left = call.timeout.saturating_sub(started.elapsed());
         let exchange = async {
             exchange(&stream, addr, call).await.unwrap_or_else(|e| {
                 log::debug!("{addr}{}: {e} (kept connection: {kept})", call.path);
-                (Reply::Lost, false)
+                Exchanged::LOST
             })
         };
         let late = async {
             Timer::after(left).await;
-            (Reply::Lost, false)
+            Exchanged::LOST
         };
-        let (reply, keep) = exchange.or(late).await;
-        if keep {
+        let done = exchange.or(late).await;
+        if done.keep {
             self.put(addr, Lane::of(&call.to), stream);
         }
-        reply
+        (done.reply, done.come_back)
     }
 
     async fn connect(&self, addr: SocketAddr, timeout: Duration) -> Option<Stream> {
@@ -142,11 +150,23 @@
     }
 }
 
-async fn exchange(
-    stream: &Stream,
-    addr: SocketAddr,
-    call: &Call,
-) -> http_types::Result<(Reply, bool)> {
+/// What came of a request.
+struct Exchanged {
+    reply: Reply,
+    /// Whether the connection can be used again.
+    keep: bool,
+    come_back: Option<Duration>,
+}
+
+impl Exchanged {
+    const LOST: Self = Self {
+        reply: Reply::Lost,
+        keep: false,
+        come_back: None,
+    };
+}
+
+async fn exchange(stream: &Stream, addr: SocketAddr, call: &Call) -> http_types::Result<Exchanged> {
     let url = Url::parse(&format!("http://{addr}{}", call.path))?;
     let method = match call.method {
         Method::Get | Method::Other => HttpMethod::Get,
@@ -160,8 +180,16 @@
     let close = response
         .header(CONNECTION)
         .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+    let come_back = response.header(RETRY_AFTER).and_then(|after| {
+        let seconds = after.as_str().trim().parse().ok()?;
+        Some(Duration::from_secs(seconds))
+    });
     let status = u16::from(response.status());
     let mut body = Vec::new();
     response.take_body().read_to_end(&mut body).await?;
-    Ok((Reply::Answer { status, body }, !close))
+    Ok(Exchanged {
+        reply: Reply::Answer { status, body },
+        keep: !close,
+        come_back,
+    })
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod runtime;
 mod server;
 mod stream;
+mod workflows;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -48,6 +49,8 @@
     /// Asks a running controller.
     #[command(subcommand)]
     Admin(admin::Admin),
+    /// Serves CWL workflows (GA4GH WES).
+    Workflows(workflows::Workflows),
     /// Looks at CWL documents.
     #[command(subcommand)]
     Cwl(cwl::Cwl),
@@ -101,6 +104,7 @@
     let file = match (&cli.command, &cli.run.config) {
         (Some(Command::Admin(command)), _) => return admin::run(command),
         (Some(Command::Cwl(command)), _) => return cwl::run(command),
+        (Some(Command::Workflows(command)), _) => return workflows::run(command),
         (Some(Command::Check { file }), _) | (None, Some(file)) => file,
         // `clap` asks for one of both.
         (None, None) => return ExitCode::from(2),
--- /dev/null
+++ b/crates/daemon/tests/workflows.rs
@@ -0,0 +1,478 @@
+//! `oliveshift workflows` over loopback, against stand-ins of the state service
+//! and the users' API. The process is killed in the middle and started again.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    rc::Rc,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer, block_on};
+use http_types::{Request, Response, StatusCode};
+use oliveshift_core::{Call, Method, Target};
+use oliveshift_testkit::{Done, State, StateLimits, tools};
+use oliveshift_wire::{
+    JobId, encode,
+    job::{JobPhase, JobSpec, JobStatus},
+};
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_oliveshift");
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl");
+
+/// How often each class was accepted as a new job.
+type Accepted = Arc<Mutex<BTreeMap<String, usize>>>;
+
+/// Jobs that are done some time after those that they await.
+struct Jobs {
+    objects: PathBuf,
+    jobs: BTreeMap<JobId, (JobSpec, JobPhase, Duration)>,
+    accepted: Accepted,
+    failing: Option<&'static str>,
+}
+
+impl Jobs {
+    fn pass(&mut self, now: Duration) {
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let (spec, phase, since) = &self.jobs[&id];
+            if *phase != JobPhase::Pending {
+                continue;
+            }
+            let phases: Vec<_> = spec.awaits.iter().map(|a| self.jobs[a].1).collect();
+            let cancelled = phases.contains(&JobPhase::Cancelled);
+            let ready = phases.iter().all(|p| *p == JobPhase::Done);
+            let over = now > *since + Duration::from_millis(700);
+            let spec = spec.clone();
+            if cancelled || (ready && over) {
+                let phase = if cancelled {
+                    JobPhase::Cancelled
+                } else {
+                    JobPhase::Done
+                };
+                if phase == JobPhase::Done {
+                    self.leave(&spec);
+                }
+                self.jobs.insert(id, (spec, phase, now));
+            }
+        }
+    }
+
+    fn leave(&self, spec: &JobSpec) {
+        let dir = self.objects.join("results").join(spec.id.as_str());
+        std::fs::create_dir_all(&dir).expect("a directory");
+        for i in 0..spec.tasks {
+            let fails = self.failing == Some(spec.class.as_str());
+            let names = tools::leaves(&spec.class).iter();
+            let left = names.map(|n| json!([n, false, 10, format!("store://{}/{i}/{n}", spec.id)]));
+            let result = json!({
+                "code": if fails { 9 } else { 0 },
+                "left": left.collect::<Vec<_>>(),
+                "texts": {"matched.txt": "3\n"},
+            });
+            std::fs::write(dir.join(format!("{i}.json")), result.to_string()).expect("written");
+        }
+    }
+
+    fn answer(&mut self, now: Duration, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        self.pass(now);
+        let parts: Vec<_> = path.trim_matches('/').split('/').collect();
+        let (status, id) = match parts.as_slice() {
+            ["work"] => {
+                let spec = JobSpec::parse(body).expect("a job");
+                let id = spec.id.clone();
+                if self.jobs.contains_key(&id) {
+                    (200, id)
+                } else {
+                    let mut accepted = self.accepted.lock().expect("not poisoned");
+                    *accepted.entry(spec.class.clone()).or_default() += 1;
+                    self.jobs.insert(id.clone(), (spec, JobPhase::Pending, now));
+                    (201, id)
+                }
+            }
+            ["work", id, rest @ ..] => {
+                let id: JobId = id.parse().expect("an id");
+                if let (["abort"], Some(job)) = (rest, self.jobs.get_mut(&id))
+                    && job.1 != JobPhase::Done
+                {
+                    job.1 = JobPhase::Cancelled;
+                }
+                (200, id)
+            }
+            _ => return (404, Vec::new()),
+        };
+        let Some((_, phase, _)) = self.jobs.get(&id) else {
+            return (404, Vec::new());
+        };
+        let told = JobStatus {
+            id,
+            phase: *phase,
+            done: None,
+            running: None,
+        };
+        (status, encode(&told))
+    }
+}
+
+/// The stand-ins, in a thread that ends with the test.
+struct Outside {
+    state: SocketAddr,
+    users: SocketAddr,
+    objects: PathBuf,
+    accepted: Accepted,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Outside {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        let _ = std::fs::remove_dir_all(&self.objects);
+    }
+}
+
+async fn listen<F>(executor: Rc<LocalExecutor<'static>>, listener: TcpListener, answer: F)
+where
+    F: Fn(&str, &str, &[u8]) -> (u16, Vec<u8>) + Clone + 'static,
+{
+    let listener = Async::new(listener).expect("a listener");
+    loop {
+        let (tcp, _) = listener.accept().await.expect("a connection");
+        let answer = answer.clone();
+        let serve = async move {
+            let stream = async_dup::Arc::new(tcp);
+            let _ = async_h1::accept(stream, |mut request: Request| {
+                let answer = answer.clone();
+                async move {
+                    let body = request.body_bytes().await?;
+                    let url = request.url();
+                    let query = url.query().map(|q| format!("?{q}")).unwrap_or_default();
+                    let path = format!("{}{query}", url.path());
+                    let (status, body) = answer(request.method().as_ref(), &path, &body);
+                    let status = StatusCode::try_from(status).expect("a status");
+                    let mut response = Response::new(status);
+                    response.set_body(body);
+                    Ok(response)
+                }
+            })
+            .await;
+        };
+        executor.spawn(serve).detach();
+    }
+}
+
+fn outside(name: &str, failing: Option<&'static str>) -> Outside {
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (state, users) = (bind(), bind());
+    let addr = |l: &TcpListener| l.local_addr().expect("its address");
+    let objects = std::env::temp_dir().join(format!("oliveshift-wf-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&objects).expect("a directory");
+    let accepted = Accepted::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut outside = Outside {
+        state: addr(&state),
+        users: addr(&users),
+        objects: objects.clone(),
+        accepted: accepted.clone(),
+        stop: stop.clone(),
+        thread: None,
+    };
+    outside.thread = Some(std::thread::spawn(move || {
+        let executor = Rc::new(LocalExecutor::new());
+        let started = Instant::now();
+        let store = Rc::new(RefCell::new(State::new(StateLimits {
+            txn_ops: 20,
+            value_bytes: 16 * 1024,
+            write_rps: 100.0,
+        })));
+        let jobs = Rc::new(RefCell::new(Jobs {
+            objects,
+            jobs: BTreeMap::new(),
+            accepted,
+            failing,
+        }));
+        let answer_state = move |method: &str, path: &str, body: &[u8]| {
+            let call = Call {
+                id: 0,
+                to: Target::State,
+                method: if method == "GET" {
+                    Method::Get
+                } else {
+                    Method::Post
+                },
+                path: path.to_owned(),
+                body: body.to_vec(),
+                timeout: Duration::ZERO,
+            };
+            let mut store = store.borrow_mut();
+            store.pass(started.elapsed());
+            match store.execute(started.elapsed(), &call) {
+                Done::Answer(status, body) => (status, body),
+                Done::Wait { .. } => (503, Vec::new()),
+            }
+        };
+        let answer_users = move |_: &str, path: &str, body: &[u8]| {
+            jobs.borrow_mut().answer(started.elapsed(), path, body)
+        };
+        executor
+            .spawn(listen(executor.clone(), state, answer_state))
+            .detach();
+        executor
+            .spawn(listen(executor.clone(), users, answer_users))
+            .detach();
+        block_on(executor.run(async {
+            while !stop.load(Ordering::Relaxed) {
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }));
+    }));
+    outside
+}
+
+/// An instance.
+struct Instance {
+    child: Child,
+    addr: SocketAddr,
+    config: PathBuf,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn instance(outside: &Outside, name: &str) -> Instance {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("its address");
+    drop(listener);
+    let config = outside.objects.join(format!("{name}.toml"));
+    let text = format!(
+        "name = \"wf-0\"\nlisten = \"{addr}\"\nstate = \"{}\"\nusers = [\"{}\"]\nobjects = \"{}\"\n\
+         defaults = {{ team = \"partners\", class = \"cwl\" }}\n\
+         limits = {{ store_per_s = 100, writes_per_s = 50, lease_s = 2, ranges = 2 }}\n",
+        outside.state,
+        outside.users,
+        outside.objects.display()
+    );
+    std::fs::write(&config, text).expect("a file");
+    let child = Command::new(PROGRAM)
+        .args(["workflows", "--config"])
+        .arg(&config)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program runs");
+    let instance = Instance {
+        child,
+        addr,
+        config,
+    };
+    for _ in 0..600 {
+        if TcpStream::connect(addr).is_ok() {
+            return instance;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("it does not listen");
+}
+
+/// Status and JSON.
+fn http(addr: SocketAddr, method: &str, path: &str, kind: &str, body: &[u8]) -> (u16, Value) {
+    let mut stream = TcpStream::connect(addr).expect("a connection");
+    let patience = Some(Duration::from_secs(40));
+    stream.set_read_timeout(patience).expect("a timeout");
+    let head = format!(
+        "{method} /ga4gh/wes/v1{path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-type: {kind}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(&[head.as_bytes(), body].concat())
+        .expect("sent");
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    let _ = stream.shutdown(Shutdown::Both);
+    let text = String::from_utf8_lossy(&bytes);
+    let status = text.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let json = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status, serde_json::from_str(json).unwrap_or_default())
+}
+
+fn get(addr: SocketAddr, path: &str) -> (u16, Value) {
+    http(addr, "GET", path, "text/plain", b"")
+}
+
+/// Hands an example in as partners do, until it is taken.
+fn submit(addr: SocketAddr, example: &str, params: Option<Value>) -> (u16, Value) {
+    let mut body = String::new();
+    let mut part = |name: &str, file: Option<&str>, text: &str| {
+        let file = file
+            .map(|f| format!("; filename=\"{f}\""))
+            .unwrap_or_default();
+        body += &format!(
+            "--zz\r\ncontent-disposition: form-data; name=\"{name}\"{file}\r\n\r\n{text}\r\n"
+        );
+    };
+    let read =
+        |path: &str| std::fs::read_to_string(Path::new(EXAMPLES).join(path)).expect("shipped");
+    let inputs = oliveshift_cwl::load::values("i", &read(&format!("{example}.inputs.yaml")));
+    let inputs = params.unwrap_or_else(|| inputs.expect("good").to_value());
+    part("workflow_params", None, &inputs.to_string());
+    part("workflow_type", None, "CWL");
+    part("workflow_type_version", None, "v1.2");
+    part("workflow_url", None, &format!("{example}.cwl"));
+    part(
+        "workflow_attachment",
+        Some(&format!("{example}.cwl")),
+        &read(&format!("{example}.cwl")),
+    );
+    for tool in [
+        "trace-repair",
+        "noise-survey",
+        "phase-picking",
+        "catalog-merge",
+    ] {
+        let path = format!("tools/{tool}.cwl");
+        part("workflow_attachment", Some(&path), &read(&path));
+    }
+    body += "--zz--\r\n";
+    for _ in 0..100 {
+        let kind = "multipart/form-data; boundary=zz";
+        let (status, answer) = http(addr, "POST", "/runs", kind, body.as_bytes());
+        if status != 503 {
+            return (status, answer);
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    panic!("it is never taken");
+}
+
+fn state_of(addr: SocketAddr, run: &str) -> String {
+    let (_, status) = get(addr, &format!("/runs/{run}/status"));
+    status["state"].as_str().unwrap_or_default().to_owned()
+}
+
+fn end_of(addr: SocketAddr, run: &str) -> String {
+    for _ in 0..600 {
+        let state = state_of(addr, run);
+        if !["RUNNING", "CANCELING", ""].contains(&state.as_str()) {
+            return state;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    panic!("{run} does not end");
+}
+
+#[test]
+fn a_run_survives_its_instance() {
+    let outside = outside("survives", None);
+    let first = instance(&outside, "first");
+    let (status, run) = submit(first.addr, "waveform-to-catalog", None);
+    let run = run["run_id"].as_str().expect("a run").to_owned();
+    assert_eq!(
+        (status, state_of(first.addr, &run).as_str()),
+        (200, "RUNNING")
+    );
+    // Until some of it has been submitted.
+    for _ in 0..200 {
+        if !outside.accepted.lock().expect("not poisoned").is_empty() {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    drop(first);
+    let second = instance(&outside, "second");
+    assert_eq!(end_of(second.addr, &run), "COMPLETE");
+    let (_, log) = get(second.addr, &format!("/runs/{run}"));
+    assert_eq!(log["outputs"]["event"]["basename"], "event.xml", "{log}");
+    assert_eq!(log["outputs"]["noise"].as_array().map(Vec::len), Some(3));
+    assert_eq!(log["task_logs"].as_array().map(Vec::len), Some(4));
+    assert!(
+        log["run_log"]["end_time"]
+            .as_str()
+            .is_some_and(|t| t.ends_with('Z'))
+    );
+    // Each step had one job, whoever submitted it.
+    let accepted = outside.accepted.lock().expect("not poisoned").clone();
+    let once = [
+        "catalog-merge",
+        "noise-survey",
+        "phase-picking",
+        "trace-repair",
+    ];
+    assert_eq!(accepted, once.map(|c| (c.to_owned(), 1)).into());
+    let (_, list) = get(second.addr, "/runs");
+    assert_eq!(list["runs"][0]["run_id"], run.as_str());
+    let (_, info) = get(second.addr, "/service-info");
+    assert_eq!(info["supported_wes_versions"], json!(["1.1.0"]));
+}
+
+#[test]
+fn runs_that_fail_are_cancelled_or_refused() {
+    let outside = outside("fails", Some("taxon-match"));
+    let wf = instance(&outside, "one");
+    let (_, run) = submit(wf.addr, "sheet-to-portal", None);
+    let run = run["run_id"].as_str().expect("a run").to_owned();
+    let (_, other) = submit(wf.addr, "waveform-to-catalog", None);
+    let other = other["run_id"].as_str().expect("a run").to_owned();
+    let (status, _) = http(
+        wf.addr,
+        "POST",
+        &format!("/runs/{other}/cancel"),
+        "text/plain",
+        b"",
+    );
+    assert_eq!(status, 200);
+    assert_eq!(end_of(wf.addr, &other), "CANCELED");
+    assert_eq!(end_of(wf.addr, &run), "EXECUTOR_ERROR");
+    let (_, log) = get(wf.addr, &format!("/runs/{run}"));
+    assert_eq!(
+        log["run_log"]["system_logs"],
+        json!(["match: exit code 9"]),
+        "{log}"
+    );
+    assert!(
+        !outside
+            .accepted
+            .lock()
+            .expect("not poisoned")
+            .contains_key("publish-batch")
+    );
+
+    let (status, why) = submit(wf.addr, "sheet-to-portal", Some(json!({"sheets": 3})));
+    assert_eq!(status, 400);
+    let why = why["msg"].as_str().unwrap_or_default();
+    assert!(why.contains("sheets: File[] is expected, not 3"), "{why}");
+    for (method, path, expected) in [
+        ("GET", "/runs/run-0-0000000000000001", 404),
+        ("GET", "/runs/run-0-0000000000000001/status", 404),
+        ("POST", "/runs/run-0-0000000000000001/cancel", 404),
+        ("GET", "/runs/nonsense", 404),
+        ("POST", "/runs", 400),
+        ("GET", "/runs?page_token=etc", 400),
+        ("DELETE", "/runs", 404),
+    ] {
+        let (status, problem) = http(wf.addr, method, path, "text/plain", b"x");
+        assert_eq!(
+            (status, &problem["status_code"]),
+            (expected, &json!(expected)),
+            "{method} {path}"
+        );
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod net;
 pub mod rules;
 pub mod state;
+pub mod tools;
 pub mod worker;
 pub mod world;
 
--- /dev/null
+++ b/crates/testkit/src/tools.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for the tools of the examples.
+
+/// The files that a tool of this class leaves behind.
+pub fn leaves(class: &str) -> &'static [&'static str] {
+    match class {
+        "tile-split" => &["sheet.tiles"],
+        "color-check" => &["report.json"],
+        "taxon-match" => &["names.csv", "matched.txt"],
+        "publish-batch" => &["records/1.json", "records/2.json"],
+        "trace-repair" => &["bdg.whole.mseed", "sby.whole.mseed", "mlg.whole.mseed"],
+        "noise-survey" => &["a.noise"],
+        "phase-picking" => &["a.picks"],
+        "catalog-merge" => &["event.xml"],
+        _ => &[],
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 pub mod settings;
 pub mod state;
+pub mod wes;
 pub mod worker;
 
 pub use codec::{CodecError, decode, encode};
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -72,8 +72,8 @@
     Poll(JobKey, JobId),
     /// Cancel it.
     Abort(JobKey, JobId),
-    /// Get what its tasks have left behind.
-    Results(JobKey, JobId),
+    /// Get what its tasks, so many, have left behind.
+    Results(JobKey, JobId, u32),
     /// Get the beginning of a file.
     Text(String),
 }
@@ -400,11 +400,11 @@
                 continue;
             };
             job.busy = true;
-            let id = job.spec.id.clone();
+            let (id, tasks) = (job.spec.id.clone(), job.spec.tasks);
             acts.push(match job.state {
                 JobState::Written => Act::Submit(key, Box::new(job.spec.clone())),
                 JobState::Accepted => Act::Poll(key, id),
-                _ => Act::Results(key, id),
+                _ => Act::Results(key, id, tasks),
             });
         }
     }
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -108,6 +108,10 @@
     Status(RunId),
     /// Cancel a run.
     Cancel(RunId),
+    /// Tell all about a run.
+    Log(RunId),
+    /// Tell which runs there are, after the key that the page before ended with.
+    List(Option<String>),
 }
 
 /// What is answered.
@@ -119,6 +123,10 @@
     Bad(String),
     /// How a run is.
     Is(Box<RunRecord>),
+    /// All about a run.
+    Log(Box<RunLog>),
+    /// Runs and their records, and where to go on; none: these are all.
+    Runs(Vec<(RunId, RunRecord)>, Option<String>),
     /// The wish to cancel it is written down.
     Cancelling,
     /// There is no such run.
@@ -127,6 +135,19 @@
     ComeBack(Duration),
 }
 
+/// All about a run, as it is written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunLog {
+    /// Its state.
+    pub record: RunRecord,
+    /// What is run.
+    pub bundle: Bundle,
+    /// What came out; null until it is complete.
+    pub outputs: serde_json::Value,
+    /// The jobs of its steps.
+    pub jobs: Vec<JobRecord>,
+}
+
 /// What an instance is told.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -155,8 +176,8 @@
     Poll(CallId, JobId),
     /// Cancel a job.
     Abort(CallId, JobId),
-    /// Get what its tasks have left behind.
-    Results(CallId, JobId),
+    /// Get what its tasks, so many, have left behind.
+    Results(CallId, JobId, u32),
     /// Get the beginning of a file.
     Text(CallId, String),
     /// Answer.
@@ -178,6 +199,8 @@
     Create(RunId),
     Status(AskId, RunId),
     Cancel(AskId),
+    List(AskId),
+    Log(AskId, RunId, Stage),
 }
 
 impl Pending {
@@ -197,7 +220,99 @@
 enum Stage {
     Record,
     Texts(RunRecord, u64, Vec<Item>),
-    Jobs(RunRecord, u64, Box<Bundle>, Vec<Item>),
+    Jobs(Box<Whole>, Vec<Item>),
+}
+
+/// A run as it is written.
+#[derive(Debug)]
+struct Whole {
+    record: RunRecord,
+    version: u64,
+    bundle: Bundle,
+    outputs: serde_json::Value,
+    jobs: Vec<JobRecord>,
+    job_pieces: usize,
+}
+
+/// What came of reading on.
+enum Read {
+    /// There is more.
+    More(Stage, StoreCall),
+    /// It did not work; from the beginning, later.
+    Again,
+    /// There is no such run.
+    Nothing,
+    /// What is there can't be understood.
+    Broken(RunRecord, u64, String),
+    /// All of it.
+    All(Box<Whole>),
+}
+
+impl Stage {
+    /// Takes a page in.
+    fn next(self, id: RunId, reply: StoreReply) -> Read {
+        let StoreReply::Page(items, more) = reply else {
+            return Read::Again;
+        };
+        let page = |kind: char, after: Option<String>| StoreCall::Page {
+            prefix: format!("{}/", run_key(kind, id)),
+            after,
+        };
+        let last = items.last().map(|i| i.key.clone());
+        match self {
+            Self::Record => {
+                let key = run_key('r', id);
+                let item = items.iter().find(|i| i.key == key);
+                match item.and_then(|i| Some((get::<RunRecord>(i)?, i.version))) {
+                    Some((record, version)) => {
+                        Read::More(Self::Texts(record, version, Vec::new()), page('t', None))
+                    }
+                    None => Read::Nothing,
+                }
+            }
+            Self::Texts(record, version, mut texts) => {
+                texts.extend(items);
+                if more {
+                    return Read::More(Self::Texts(record, version, texts), page('t', last));
+                }
+                let join = |texts: &[Item]| -> String {
+                    texts.iter().filter_map(|i| i.value.as_str()).collect()
+                };
+                let (first, rest) = texts.split_at(texts.len().min(record.pieces as usize));
+                let bundle = match serde_json::from_str(&join(first)) {
+                    Ok(bundle) => bundle,
+                    Err(e) => return Read::Broken(record, version, format!("its record: {e}")),
+                };
+                let outputs = match record.outputs {
+                    0 => None,
+                    n => serde_json::from_str(&join(&rest[..rest.len().min(n as usize)])).ok(),
+                };
+                let whole = Whole {
+                    record,
+                    version,
+                    bundle,
+                    outputs: outputs.unwrap_or_default(),
+                    jobs: Vec::new(),
+                    job_pieces: 0,
+                };
+                Read::More(Self::Jobs(Box::new(whole), Vec::new()), page('j', None))
+            }
+            Self::Jobs(mut whole, mut all) => {
+                all.extend(items);
+                if more {
+                    return Read::More(Self::Jobs(whole, all), page('j', last));
+                }
+                let jobs: Option<Vec<Vec<JobRecord>>> = all.iter().map(get).collect();
+                let Some(jobs) = jobs else {
+                    let why = "its jobs' record can't be read".to_owned();
+                    return Read::Broken(whole.record, whole.version, why);
+                };
+                whole.job_pieces = all.len();
+                whole.jobs = jobs.into_iter().flatten().collect();
+                Read::All(whole)
+            }
+        }
+    }
 }
 
 /// A run of ours.
@@ -372,6 +487,23 @@
                 };
                 self.store(Pending::Status(asker, id), call);
             }
+            Ask::Log(_) | Ask::List(_) if self.store.left(now) == 0 => {
+                self.out.push(Output::Answer(asker, later));
+            }
+            Ask::Log(id) => {
+                let call = StoreCall::Page {
+                    prefix: run_key('r', id),
+                    after: None,
+                };
+                self.store(Pending::Log(asker, id, Stage::Record), call);
+            }
+            Ask::List(after) => {
+                let call = StoreCall::Page {
+                    prefix: "wf/r/".to_owned(),
+                    after,
+                };
+                self.store(Pending::List(asker), call);
+            }
             Ask::Cancel(id) => {
                 if self.store.left(now) == 0 || self.writes.left(now) == 0 {
                     return self.out.push(Output::Answer(asker, later));
@@ -526,6 +658,20 @@
                 };
                 self.out.push(Output::Answer(asker, answer));
             }
+            Pending::List(asker) => {
+                let answer = match reply {
+                    StoreReply::Page(items, more) => {
+                        let next = items.last().map(|i| i.key.clone()).filter(|_| more);
+                        let runs = items
+                            .iter()
+                            .filter_map(|i| Some((run_of(&i.key)?, get(i)?)));
+                        Answer::Runs(runs.collect(), next)
+                    }
+                    _ => Answer::ComeBack(COME_BACK),
+                };
+                self.out.push(Output::Answer(asker, answer));
+            }
+            Pending::Log(asker, id, stage) => self.logged(asker, id, stage, reply),
             Pending::Cancel(asker) => {
                 let answer = match reply {
                     StoreReply::Done(_) => Answer::Cancelling,
@@ -559,62 +705,36 @@
     }
 
     fn loaded(&mut self, now: Duration, id: RunId, stage: Stage, reply: StoreReply) {
-        let StoreReply::Page(items, more) = reply else {
-            let again = now + Duration::from_secs(1);
-            self.runs.insert(id, Held::ToLoad(again));
-            return;
-        };
-        let page = |kind: char, after: Option<String>| StoreCall::Page {
-            prefix: format!("{}/", run_key(kind, id)),
-            after,
-        };
-        let last = items.last().map(|i| i.key.clone());
-        match stage {
-            Stage::Record => {
-                let key = run_key('r', id);
-                let item = items.iter().find(|i| i.key == key);
-                let record = item.and_then(|i| Some((get::<RunRecord>(i)?, i.version)));
-                match record {
-                    Some((record, version)) if !record.state.is_final() => {
-                        let stage = Stage::Texts(record, version, Vec::new());
-                        self.store(Pending::Load(id, stage), page('t', None));
-                    }
-                    _ => {
-                        self.runs.remove(&id);
-                    }
-                }
+        match stage.next(id, reply) {
+            Read::More(stage, call) => self.store(Pending::Load(id, stage), call),
+            Read::Again => {
+                let again = now + Duration::from_secs(1);
+                self.runs.insert(id, Held::ToLoad(again));
             }
-            Stage::Texts(record, version, mut texts) => {
-                texts.extend(items);
-                if more {
-                    let stage = Stage::Texts(record, version, texts);
-                    return self.store(Pending::Load(id, stage), page('t', last));
-                }
-                let texts = texts.iter().take(record.pieces as usize);
-                let text: String = texts.filter_map(|i| i.value.as_str()).collect();
-                match serde_json::from_str(&text) {
-                    Ok(bundle) => {
-                        let stage = Stage::Jobs(record, version, bundle, Vec::new());
-                        self.store(Pending::Load(id, stage), page('j', None));
-                    }
-                    Err(e) => self.broken(id, record, version, format!("its record: {e}")),
-                }
+            Read::Nothing => {
+                self.runs.remove(&id);
             }
-            Stage::Jobs(record, version, bundle, mut all) => {
-                all.extend(items);
-                if more {
-                    let stage = Stage::Jobs(record, version, bundle, all);
-                    return self.store(Pending::Load(id, stage), page('j', last));
-                }
-                let jobs: Option<Vec<Vec<JobRecord>>> = all.iter().map(get).collect();
-                let Some(jobs) = jobs else {
-                    let why = "its jobs' record can't be read".to_owned();
-                    return self.broken(id, record, version, why);
-                };
-                let jobs = jobs.into_iter().flatten().collect();
+            Read::Broken(record, version, why) if !record.state.is_final() => {
+                self.broken(id, record, version, why);
+            }
+            Read::Broken(..) => {
+                self.runs.remove(&id);
+            }
+            Read::All(all) if all.record.state.is_final() => {
+                self.runs.remove(&id);
+            }
+            Read::All(all) => {
+                let Whole {
+                    record,
+                    version,
+                    bundle,
+                    jobs,
+                    job_pieces,
+                    ..
+                } = *all;
                 let seed = self.rng.u64(..);
                 let piece = self.settings.value_bytes;
-                let run = Active::new(id, record.clone(), *bundle, jobs, all.len(), piece, seed);
+                let run = Active::new(id, record.clone(), bundle, jobs, job_pieces, piece, seed);
                 match run {
                     #[cfg_attr(not(feature = "sabotage"), expect(unused_mut))]
                     Ok(mut run) => {
@@ -631,6 +751,24 @@
         }
     }
 
+    /// The same for somebody who wants to know all about a run.
+    fn logged(&mut self, asker: AskId, id: RunId, stage: Stage, reply: StoreReply) {
+        let answer = match stage.next(id, reply) {
+            Read::More(stage, call) => {
+                return self.store(Pending::Log(asker, id, stage), call);
+            }
+            Read::Again | Read::Broken(..) => Answer::ComeBack(COME_BACK),
+            Read::Nothing => Answer::Unknown,
+            Read::All(all) => Answer::Log(Box::new(RunLog {
+                record: all.record,
+                bundle: all.bundle,
+                outputs: all.outputs,
+                jobs: all.jobs,
+            })),
+        };
+        self.out.push(Output::Answer(asker, answer));
+    }
+
     /// A run that can't be taken up ends as the service's error.
     fn broken(&mut self, id: RunId, mut record: RunRecord, version: u64, why: String) {
         log::error!("{id}: {why}");
@@ -858,9 +996,9 @@
                 let call = self.call(Pending::Job(id, key, true));
                 self.out.push(Output::Abort(call, job));
             }
-            Act::Results(key, job) => {
+            Act::Results(key, job, tasks) => {
                 let call = self.call(Pending::Results(id, key));
-                self.out.push(Output::Results(call, job));
+                self.out.push(Output::Results(call, job, tasks));
             }
             Act::Text(location) => {
                 let call = self.call(Pending::Text(id, location.clone()));
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -280,7 +280,7 @@
                 self.ask_job(n, life, call, latency, JobAsk::Poll(id));
             }
             Output::Abort(call, id) => self.ask_job(n, life, call, latency, JobAsk::Abort(id)),
-            Output::Results(call, id) => {
+            Output::Results(call, id, _) => {
                 self.at(latency, Event::Job(n, life, call, JobAsk::Results(id)))
             }
             Output::Text(call, _) => {
--- a/crates/workflow/tests/sides.rs
+++ b/crates/workflow/tests/sides.rs
@@ -292,7 +292,7 @@
                 }
                 Output::Poll(call, id) => self.ask(call, Wish::Poll(id), asks),
                 Output::Abort(call, id) => self.ask(call, Wish::Abort(id), asks),
-                Output::Results(call, id) => {
+                Output::Results(call, id, _) => {
                     let spec = &self.specs[&id];
                     let results = (0..spec.tasks).map(|i| leaves(&spec.class, &id, i, 0));
                     let input = Input::Results(call, Some(results.collect()));
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -38,17 +38,7 @@
 
 /// What the tools of the examples leave behind.
 pub fn leaves(class: &str, job: &JobId, index: u32, code: i64) -> TaskResult {
-    let names: &[&str] = match class {
-        "tile-split" => &["sheet.tiles"],
-        "color-check" => &["report.json"],
-        "taxon-match" => &["names.csv", "matched.txt"],
-        "publish-batch" => &["records/1.json", "records/2.json"],
-        "trace-repair" => &["bdg.whole.mseed", "sby.whole.mseed", "mlg.whole.mseed"],
-        "noise-survey" => &["a.noise"],
-        "phase-picking" => &["a.picks"],
-        "catalog-merge" => &["event.xml"],
-        _ => &[],
-    };
+    let names = oliveshift_testkit::tools::leaves(class);
     let left = names.iter().map(|name| {
         let location = format!("store://{job}/{index}/{name}");
         ((*name).to_owned(), false, 10, location)
