--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -11,7 +11,7 @@
 use futures_lite::{AsyncReadExt, FutureExt};
 use http_types::{
     Method as HttpMethod, Request, Url,
-    headers::{CONNECTION, RETRY_AFTER},
+    headers::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
 };
 use oliveshift_core::{Call, Method, Reply, sockets::Lane};
 
@@ -45,6 +45,16 @@
 
     /// The same, and when to come back if that was said.
     pub async fn call_told(&self, addr: SocketAddr, call: &Call) -> (Reply, Option<Duration>) {
+        self.call_kind(addr, call, None).await
+    }
+
+    /// The same, with a body of a kind that has to be told.
+    pub async fn call_kind(
+        &self,
+        addr: SocketAddr,
+        call: &Call,
+        kind: Option<&str>,
+    ) -> (Reply, Option<Duration>) {
         let started = Instant::now();
         let (stream, kept) = match self.take(addr) {
             Some(stream) => (stream, true),
@@ -55,10 +65,12 @@
         };
         let left = call.timeout.saturating_sub(started.elapsed());
         let exchange = async {
-            exchange(&stream, addr, call).await.unwrap_or_else(|e| {
-                log::debug!("{addr}{}: {e} (kept connection: {kept})", call.path);
-                Exchanged::LOST
-            })
+            exchange(&stream, addr, call, kind)
+                .await
+                .unwrap_or_else(|e| {
+                    log::debug!("{addr}{}: {e} (kept connection: {kept})", call.path);
+                    Exchanged::LOST
+                })
         };
         let late = async {
             Timer::after(left).await;
@@ -166,7 +178,12 @@
     };
 }
 
-async fn exchange(stream: &Stream, addr: SocketAddr, call: &Call) -> http_types::Result<Exchanged> {
+async fn exchange(
+    stream: &Stream,
+    addr: SocketAddr,
+    call: &Call,
+    kind: Option<&str>,
+) -> http_types::Result<Exchanged> {
     let url = Url::parse(&format!("http://{addr}{}", call.path))?;
     let method = match call.method {
         Method::Get | Method::Other => HttpMethod::Get,
@@ -176,6 +193,9 @@
     };
     let mut request = Request::new(method, url);
     request.set_body(call.body.as_slice());
+    if let Some(kind) = kind {
+        request.insert_header(CONTENT_TYPE, kind);
+    }
     let mut response = async_h1::client::connect(stream.clone(), request).await?;
     let close = response
         .header(CONNECTION)
--- a/crates/daemon/src/cwl.rs
+++ b/crates/daemon/src/cwl.rs
@@ -1,8 +1,12 @@
 //! `oliveshift cwl`: looks at CWL documents before they are handed in.
 
 use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddrV4,
     path::{Path, PathBuf},
     process::ExitCode,
+    time::Duration,
 };
 
 use clap::{Args, Subcommand};
@@ -11,10 +15,13 @@
     document::Process,
     load::{self, Resolver},
 };
+use oliveshift_wire::wes::State;
 use oliveshift_workflow::plan::{Plan, Planned, plan};
 use termtree::Tree;
 use thiserror::Error;
 
+use crate::wes::{self, Wes};
+
 /// What can be done with a document.
 #[derive(Debug, Subcommand)]
 pub enum Cwl {
@@ -35,6 +42,36 @@
         #[arg(long)]
         json: bool,
     },
+    /// Hands a document in and follows the run to its end.
+    Run {
+        #[command(flatten)]
+        document: Document,
+        /// The inputs (YAML or JSON).
+        inputs: PathBuf,
+        /// Where workflows are served.
+        #[arg(long, value_name = "HOST:PORT")]
+        at: SocketAddrV4,
+        /// Only prints the run's name.
+        #[arg(long)]
+        detach: bool,
+    },
+    /// Lists all runs.
+    Runs {
+        /// Where workflows are served.
+        #[arg(long, value_name = "HOST:PORT")]
+        at: SocketAddrV4,
+        /// For programs.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Cancels a run.
+    Cancel {
+        /// Its name.
+        run: String,
+        /// Where workflows are served.
+        #[arg(long, value_name = "HOST:PORT")]
+        at: SocketAddrV4,
+    },
 }
 
 /// A document.
@@ -48,9 +85,18 @@
     root: Option<PathBuf>,
 }
 
+/// How often a run is asked after.
+const FOLLOW_EVERY: Duration = Duration::from_secs(2);
+
 /// Why there is nothing to show. The exit code says which kind it is.
 #[derive(Debug, Error)]
 enum Trouble {
+    /// The run did not end well: 3.
+    #[error("{0} is {1}{2}")]
+    Ended(String, String, String),
+    /// Workflows are not served there, or can't be asked now: 4 or 5.
+    #[error("{0}")]
+    Wes(#[from] wes::WesError),
     /// The document or its inputs are wrong: 1.
     #[error("{0}")]
     Fault(#[from] Fault),
@@ -70,16 +116,23 @@
         match self {
             Self::Fault(_) | Self::Plan(_) => ExitCode::from(1),
             Self::Read(..) | Self::Outside(..) => ExitCode::from(2),
+            Self::Ended(..) => ExitCode::from(3),
+            Self::Wes(e) => ExitCode::from(e.code()),
         }
     }
 }
 
-/// Documents below a directory.
-struct Directory(PathBuf);
+/// Documents below a directory, and which of them were read.
+struct Directory {
+    root: PathBuf,
+    read: RefCell<BTreeMap<String, String>>,
+}
 
 impl Resolver for Directory {
     fn read(&self, path: &str) -> Result<String, String> {
-        std::fs::read_to_string(self.0.join(path)).map_err(|e| e.to_string())
+        let text = std::fs::read_to_string(self.root.join(path)).map_err(|e| e.to_string())?;
+        self.read.borrow_mut().insert(path.to_owned(), text.clone());
+        Ok(text)
     }
 }
 
@@ -92,6 +145,17 @@
             inputs,
             json,
         } => show(document, inputs, *json),
+        Cwl::Run {
+            document,
+            inputs,
+            at,
+            detach,
+        } => hand_in(document, inputs, *at, *detach),
+        Cwl::Runs { at, json } => list(*at, *json),
+        Cwl::Cancel { run, at } => Wes(*at)
+            .cancel(run)
+            .map(|()| format!("{run} is being cancelled"))
+            .map_err(Trouble::from),
     };
     match done {
         Ok(text) => {
@@ -105,7 +169,15 @@
     }
 }
 
-fn read(document: &Document) -> Result<Process, Trouble> {
+/// A document, with all files that it consists of.
+struct Found {
+    process: Process,
+    /// Which file it is, or which process of it.
+    main: String,
+    files: BTreeMap<String, String>,
+}
+
+fn read(document: &Document) -> Result<Found, Trouble> {
     let (file, name) = match document.file.split_once('#') {
         Some((file, name)) => (file, Some(name)),
         None => (document.file.as_str(), None),
@@ -129,7 +201,87 @@
     if let Some(name) = name {
         path = format!("{path}#{name}");
     }
-    Ok(load::load(&Directory(root), &path)?)
+    let directory = Directory {
+        root,
+        read: RefCell::default(),
+    };
+    let process = load::load(&directory, &path)?;
+    Ok(Found {
+        process,
+        main: path,
+        files: directory.read.into_inner(),
+    })
+}
+
+/// Hands a document in and tells how it goes on, on standard error, until it
+/// ends.
+fn hand_in(
+    document: &Document,
+    inputs: &Path,
+    at: SocketAddrV4,
+    detach: bool,
+) -> Result<String, Trouble> {
+    let found = read(document)?;
+    let inputs = read_inputs(inputs)?;
+    // What is wrong is better told here than by a refusal.
+    plan(&found.process, &inputs).map_err(Trouble::Plan)?;
+    let wes = Wes(at);
+    let run = wes.submit(&found.main, &found.files, &inputs)?;
+    if detach {
+        return Ok(run);
+    }
+    eprintln!("{run}: handed in");
+    let mut steps = 0;
+    loop {
+        std::thread::sleep(FOLLOW_EVERY);
+        // The service may be away for some time; the run goes on.
+        let log = match wes.log(&run) {
+            Ok(log) => log,
+            Err(e) if e.is_passing() => {
+                eprintln!("{run}: {e}");
+                continue;
+            }
+            Err(e) => return Err(e.into()),
+        };
+        for task in log.task_logs.iter().skip(steps) {
+            eprintln!("{run}: {}: {}", task.name, task.system_logs.join(", "));
+        }
+        steps = steps.max(log.task_logs.len());
+        match log.state {
+            State::Running | State::Canceling => {}
+            State::Complete => {
+                let text = serde_json::to_string_pretty(&log.outputs);
+                return text.map_err(|e| Trouble::Plan(e.to_string()));
+            }
+            state => {
+                let why = log.run_log.system_logs.join("; ");
+                let why = if why.is_empty() {
+                    why
+                } else {
+                    format!(": {why}")
+                };
+                return Err(Trouble::Ended(run, wes::word(state), why));
+            }
+        }
+    }
+}
+
+fn list(at: SocketAddrV4, json: bool) -> Result<String, Trouble> {
+    let runs = Wes(at).list()?;
+    if json {
+        let text = serde_json::to_string_pretty(&runs);
+        return text.map_err(|e| Trouble::Plan(e.to_string()));
+    }
+    let lines = runs.iter().map(|run| {
+        let ended = run.end_time.as_deref().unwrap_or("");
+        let state = wes::word(run.state);
+        format!("{}  {state:<14}  {}  {ended}", run.run_id, run.start_time)
+    });
+    let lines: Vec<_> = lines.map(|l| l.trim_end().to_owned()).collect();
+    Ok(match lines.is_empty() {
+        true => "no runs".to_owned(),
+        false => lines.join("\n"),
+    })
 }
 
 fn read_inputs(file: &Path) -> Result<serde_json::Value, Trouble> {
@@ -139,7 +291,7 @@
 }
 
 fn check(document: &Document, inputs: Option<&Path>) -> Result<String, Trouble> {
-    let process = read(document)?;
+    let process = read(document)?.process;
     let what = match &process {
         Process::Tool(_) => "a command line tool".to_owned(),
         Process::Expression(_) => "an expression".to_owned(),
@@ -174,7 +326,7 @@
 }
 
 fn show(document: &Document, inputs: &Path, json: bool) -> Result<String, Trouble> {
-    let plan = plan(&read(document)?, &read_inputs(inputs)?).map_err(Trouble::Plan)?;
+    let plan = plan(&read(document)?.process, &read_inputs(inputs)?).map_err(Trouble::Plan)?;
     if json {
         let text = serde_json::to_string_pretty(&plan);
         return text.map_err(|e| Trouble::Plan(e.to_string()));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod runtime;
 mod server;
 mod stream;
+mod wes;
 mod workflows;
 
 use std::{path::PathBuf, process::ExitCode};
--- a/crates/daemon/src/workflows/config.rs
+++ b/crates/daemon/src/workflows/config.rs
@@ -96,7 +96,7 @@
             // One line: what is wrong, and where.
             let line = e
                 .span()
-                .map(|s| text[..s.start.min(text.len())].lines().count().max(1));
+                .map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
             let at = line.map_or(String::new(), |n| format!("line {n}: "));
             BadConfig::Parse(file.to_owned(), format!("{at}{}", e.message()))
         })?;
--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -419,10 +419,62 @@
     assert_eq!(accepted, once.map(|c| (c.to_owned(), 1)).into());
     let (_, list) = get(second.addr, "/runs");
     assert_eq!(list["runs"][0]["run_id"], run.as_str());
+    let at = second.addr.to_string();
+    let (code, out, _) = cwl(&["runs", "--at", &at]);
+    assert_eq!(code, Some(0));
+    assert!(out.starts_with(&format!("{run}  COMPLETE")), "{out}");
     let (_, info) = get(second.addr, "/service-info");
     assert_eq!(info["supported_wes_versions"], json!(["1.1.0"]));
 }
 
+/// Exit code, output and error of `oliveshift cwl`.
+fn cwl(args: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(PROGRAM)
+        .arg("cwl")
+        .args(args)
+        .current_dir(EXAMPLES)
+        .output()
+        .expect("the program runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (
+        output.status.code(),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
+}
+
+#[test]
+fn people_run_documents() {
+    let outside = outside("people", Some("publish-batch"));
+    let wf = instance(&outside, "one");
+    let at = wf.addr.to_string();
+    let run = |name: &str| {
+        let (document, inputs) = (format!("{name}.cwl"), format!("{name}.inputs.yaml"));
+        cwl(&["run", &document, &inputs, "--at", &at])
+    };
+    let (code, out, err) = run("waveform-to-catalog");
+    assert_eq!(code, Some(0), "{err}");
+    let outputs: Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!(outputs["event"]["basename"], "event.xml");
+    assert!(
+        err.contains("handed in") && err.contains("survey: 3 tasks of 2 CPUs"),
+        "{err}"
+    );
+    let (code, out, err) = run("sheet-to-portal");
+    assert_eq!((code, out.as_str()), (Some(3), ""));
+    assert!(
+        err.contains("is EXECUTOR_ERROR: publish: exit code 9"),
+        "{err}"
+    );
+    let (code, _, err) = cwl(&["cancel", "run-0-0000000000000001", "--at", &at]);
+    assert_eq!(code, Some(5));
+    assert!(err.contains("refuses: no such run"), "{err}");
+    drop(wf);
+    let (code, _, err) = cwl(&["runs", "--at", &at]);
+    assert_eq!(code, Some(4));
+    assert!(err.contains("can not be reached"), "{err}");
+}
+
 #[test]
 fn runs_that_fail_are_cancelled_or_refused() {
     let outside = outside("fails", Some("taxon-match"));
