--- a/crates/daemon/src/cwl.rs
+++ b/crates/daemon/src/cwl.rs
@@ -41,6 +41,9 @@
         /// For programs.
         #[arg(long)]
         json: bool,
+        /// As a graph, in the language of Graphviz.
+        #[arg(long, conflicts_with = "json")]
+        dot: bool,
     },
     /// Hands a document in and follows the run to its end.
     Run {
@@ -144,7 +147,8 @@
             document,
             inputs,
             json,
-        } => show(document, inputs, *json),
+            dot,
+        } => show(document, inputs, *json, *dot),
         Cwl::Run {
             document,
             inputs,
@@ -325,13 +329,40 @@
     ))
 }
 
-fn show(document: &Document, inputs: &Path, json: bool) -> Result<String, Trouble> {
+fn show(document: &Document, inputs: &Path, json: bool, dot: bool) -> Result<String, Trouble> {
     let plan = plan(&read(document)?.process, &read_inputs(inputs)?).map_err(Trouble::Plan)?;
     if json {
         let text = serde_json::to_string_pretty(&plan);
         return text.map_err(|e| Trouble::Plan(e.to_string()));
     }
-    Ok(tree(&plan).to_string().trim_end().to_owned())
+    Ok(match dot {
+        true => graph(&plan),
+        false => tree(&plan).to_string().trim_end().to_owned(),
+    })
+}
+
+/// The plan as a graph: what is known later has a dashed frame.
+fn graph(plan: &Plan) -> String {
+    let quoted = |text: &str| format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""));
+    let mut lines = vec![
+        format!("digraph {} {{", quoted(&plan.name)),
+        "  node [shape=box];".into(),
+    ];
+    for job in &plan.jobs {
+        let (step, line) = (quoted(&job.step), quoted(&line(job)));
+        lines.push(format!("  {step} [label={line}];"));
+        let awaits = job.awaits.iter();
+        lines.extend(awaits.map(|before| format!("  {} -> {step};", quoted(before))));
+    }
+    for later in &plan.later {
+        let label = quoted(&format!("{}: {}", later.step, later.why));
+        lines.push(format!(
+            "  {} [label={label}, style=dashed];",
+            quoted(&later.step)
+        ));
+    }
+    lines.push("}".into());
+    lines.join("\n")
 }
 
 /// The plan as a tree: jobs below the last of those that they await.
--- a/crates/daemon/tests/cwl.rs
+++ b/crates/daemon/tests/cwl.rs
@@ -41,6 +41,19 @@
 └── publish: whether it runs: known after match
 ";
     assert_eq!(out, plan);
+    let dot = cwl(&[
+        "plan",
+        "--dot",
+        "sheet-to-portal.cwl",
+        "sheet-to-portal.inputs.yaml",
+    ]);
+    assert!(dot.1.starts_with("digraph \"main\" {\n"), "{}", dot.1);
+    assert!(dot.1.contains("\n  \"split\" -> \"check\";\n"), "{}", dot.1);
+    assert!(
+        dot.1.contains("known after match\", style=dashed];\n}"),
+        "{}",
+        dot.1
+    );
     let json = cwl(&[
         "plan",
         "--json",
--- /dev/null
+++ b/crates/workflow/examples/measure.rs
@@ -0,0 +1,250 @@
+//! Measures the workflow service: documents planned a second, memory of open
+//! runs, writes and requests of a crowd of runs. The figures of docs/cwl.md.
+//!
+//!     cargo run --release -p oliveshift-workflow --example measure -- 2000
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use oliveshift_core::{Call, Method, Target};
+use oliveshift_cwl::load;
+use oliveshift_testkit::{Done, State, StateLimits, tools};
+use oliveshift_wire::{JobId, job::JobPhase};
+use oliveshift_workflow::{
+    active::{Active, JobReply},
+    api::{self, Reply},
+    job::{Defaults, TaskResult},
+    plan::plan,
+    records::{Bundle, RunId, RunRecord, RunState},
+    service::{Answer, Ask, Input, Output, Service, Settings, StoreCall, StoreReply},
+};
+
+const S: Duration = Duration::from_secs(1);
+
+fn example(name: &str) -> Bundle {
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl/");
+    let read = |path: &str| std::fs::read_to_string(format!("{dir}{path}")).expect("shipped");
+    let mut files = BTreeMap::new();
+    files.insert(format!("{name}.cwl"), read(&format!("{name}.cwl")));
+    for tool in [
+        "trace-repair",
+        "noise-survey",
+        "phase-picking",
+        "catalog-merge",
+    ] {
+        let path = format!("tools/{tool}.cwl");
+        files.insert(path.clone(), read(&path));
+    }
+    let inputs = load::values("inputs", &read(&format!("{name}.inputs.yaml")));
+    Bundle {
+        main: format!("{name}.cwl"),
+        files,
+        inputs: inputs.expect("good").to_value(),
+        defaults: Defaults {
+            team: "partners".into(),
+            class: "cwl".into(),
+        },
+    }
+}
+
+/// Resident memory of this process, in KiB.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let number = line.and_then(|l| l.split_whitespace().next());
+    number.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn show(what: &str, micros: &Histogram<u64>) {
+    println!(
+        "{what}: mean {:.0} us, p50 {}, p99 {}, max {} us, {} times",
+        micros.mean(),
+        micros.value_at_quantile(0.5),
+        micros.value_at_quantile(0.99),
+        micros.max(),
+        micros.len()
+    );
+}
+
+fn planning() {
+    for name in ["sheet-to-portal", "waveform-to-catalog"] {
+        let bundle = example(name);
+        let mut micros = Histogram::<u64>::new(3).expect("a histogram");
+        for _ in 0..300 {
+            let begun = Instant::now();
+            let process = load::load(&bundle, &bundle.main).expect("good");
+            plan(&process, &bundle.inputs).expect("good");
+            micros
+                .record(begun.elapsed().as_micros() as u64)
+                .expect("in range");
+        }
+        show(&format!("{name} read and planned"), &micros);
+    }
+}
+
+fn memory(count: u64) {
+    let bundle = example("waveform-to-catalog");
+    let record = RunRecord {
+        state: RunState::Running,
+        begun_s: 0,
+        ended_s: None,
+        pieces: 1,
+        outputs: 0,
+        failure: None,
+    };
+    let before = resident();
+    let runs: Vec<Active> = (0..count)
+        .map(|number| {
+            let id = RunId { range: 0, number };
+            let run = Active::new(id, record.clone(), bundle.clone(), vec![], 0, 8192, number);
+            let mut run = run.expect("good");
+            run.next(Duration::ZERO, 0, 4);
+            run
+        })
+        .collect();
+    let each = resident().saturating_sub(before) as f64 / count as f64;
+    println!("{} open runs: {each:.1} KiB each", runs.len());
+}
+
+/// A crowd of runs, handed in as fast as they are taken.
+fn crowd(count: usize) {
+    let settings = Settings {
+        name: "wf-0".into(),
+        ranges: 8,
+        lease: S * 10,
+        calls_per_s: 100.0,
+        store_per_s: 100.0,
+        writes_per_s: 200.0,
+        most_runs: count,
+        value_bytes: 8192,
+        txn_ops: 20,
+    };
+    let mut service = Service::new(settings, 1);
+    let mut state = State::new(StateLimits {
+        txn_ops: 32,
+        value_bytes: 32 * 1024,
+        write_rps: 1e6,
+    });
+    let bundle = example("waveform-to-catalog");
+    let mut jobs: BTreeMap<JobId, (String, u32, Duration)> = BTreeMap::new();
+    let mut micros = Histogram::<u64>::new(3).expect("a histogram");
+    let (mut begun, mut asked, mut writes, mut submits, mut polls) = (0, 0, 0, 0, 0);
+    let mut calls: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut now = Duration::ZERO;
+    let mut most = 0;
+    let wall = Instant::now();
+    while (begun < count || service.under_way() > 0) && now < S * 7200 {
+        now += Duration::from_millis(100);
+        let mut inputs = vec![Input::Tick];
+        if asked < count && asked < begun + 4 {
+            inputs.push(Input::Ask(
+                asked as u64,
+                Ask::Submit(Box::new(bundle.clone())),
+            ));
+            asked += 1;
+        }
+        while let Some(input) = inputs.pop() {
+            let at = Instant::now();
+            let outputs = service.handle(now, now.as_secs(), input);
+            micros
+                .record(at.elapsed().as_micros() as u64)
+                .expect("in range");
+            for output in outputs {
+                *calls.entry(now.as_secs()).or_default() += usize::from(matches!(
+                    output,
+                    Output::Submit(..) | Output::Poll(..) | Output::Abort(..)
+                ));
+                match output {
+                    Output::Store(call, ask) => {
+                        if let StoreCall::Txn(txn) = &ask {
+                            writes += txn.changes.len();
+                        }
+                        let request = api::store_request(&ask);
+                        let done = state.execute(
+                            now,
+                            &Call {
+                                id: call,
+                                to: Target::State,
+                                method: if request.method == "GET" {
+                                    Method::Get
+                                } else {
+                                    Method::Post
+                                },
+                                path: request.path,
+                                body: request.body,
+                                timeout: S,
+                            },
+                        );
+                        let reply = match done {
+                            Done::Answer(status, body) => {
+                                api::store_reply(&ask, Reply::Answer(status, body, None))
+                            }
+                            Done::Wait { .. } => StoreReply::Lost,
+                        };
+                        inputs.push(Input::Store(call, reply));
+                    }
+                    Output::Submit(call, spec) => {
+                        submits += 1;
+                        let job = (spec.class.clone(), spec.tasks, now + S * 15);
+                        jobs.insert(spec.id.clone(), job);
+                        inputs.push(Input::Job(call, JobReply::New));
+                    }
+                    Output::Poll(call, id) => {
+                        polls += 1;
+                        let phase = match now >= jobs[&id].2 {
+                            true => JobPhase::Done,
+                            false => JobPhase::Running,
+                        };
+                        inputs.push(Input::Job(call, JobReply::Known(phase)));
+                    }
+                    Output::Abort(call, _) => {
+                        inputs.push(Input::Job(call, JobReply::Known(JobPhase::Cancelled)));
+                    }
+                    Output::Results(call, id, tasks) => {
+                        let class = &jobs[&id].0;
+                        let left = tools::leaves(class).iter();
+                        let left =
+                            left.map(|n| ((*n).to_owned(), false, 1, format!("store://{id}/{n}")));
+                        let result = TaskResult {
+                            code: 0,
+                            left: left.collect(),
+                            texts: BTreeMap::new(),
+                        };
+                        let results = vec![result; tasks as usize];
+                        inputs.push(Input::Results(call, Some(results)));
+                    }
+                    Output::Text(call, _) => inputs.push(Input::Text(call, None)),
+                    Output::Answer(_, Answer::Begun(_)) => begun += 1,
+                    Output::Answer(_, Answer::ComeBack(_)) => asked -= 1,
+                    Output::Answer(_, answer) => panic!("{answer:?}"),
+                }
+            }
+        }
+        most = most.max(service.under_way());
+    }
+    let busiest = calls.values().max().copied().unwrap_or(0);
+    println!(
+        "{begun} runs handed in at once, all over after {:.0} s of simulated time ({:.1} s in fact): \
+         at most {most} open, {:.1} changes, {:.1} submissions and {:.1} questions a run; \
+         at most {busiest} requests to the users' API in a second, of 100 allowed",
+        now.as_secs_f64(),
+        wall.elapsed().as_secs_f64(),
+        writes as f64 / begun as f64,
+        submits as f64 / begun as f64,
+        polls as f64 / begun as f64,
+    );
+    show("an input handled", &micros);
+}
+
+fn main() {
+    let count = std::env::args()
+        .nth(1)
+        .and_then(|a| a.parse().ok())
+        .unwrap_or(2000);
+    planning();
+    memory(count as u64);
+    crowd(count);
+}
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -85,8 +85,10 @@
     /// What was seen of each run's end.
     finals: BTreeMap<RunId, RunRecord>,
     failing: BTreeMap<RunId, Duration>,
+    /// Submissions and questions, by second.
     polls: BTreeMap<u64, usize>,
     writes: usize,
+    turned_away: usize,
     broken: Vec<String>,
     sabotage: Option<Sabotage>,
 }
@@ -118,6 +120,7 @@
             failing: BTreeMap::new(),
             polls: BTreeMap::new(),
             writes: 0,
+            turned_away: 0,
             broken: Vec::new(),
             sabotage,
         }
@@ -273,6 +276,7 @@
                 self.at(latency, Event::Arrive(n, life, call, ask));
             }
             Output::Submit(call, spec) => {
+                *self.polls.entry(second).or_default() += 1;
                 self.ask_job(n, life, call, latency, JobAsk::Submit(spec))
             }
             Output::Poll(call, id) => {
@@ -297,6 +301,7 @@
                 }
             }
             Output::Answer(_, Answer::Bad(why)) => self.broken.push(why),
+            Output::Answer(_, Answer::ComeBack(_)) => self.turned_away += 1,
             Output::Answer(..) => {}
         }
     }
@@ -668,6 +673,28 @@
     assert!(world.writes < 20 * 20, "{} writes", world.writes);
 }
 
+/// However many runs there are, no more is asked than the settings allow, and
+/// whoever comes when the queue is full is told at once to come back.
+#[test]
+fn a_crowd_of_runs_keeps_to_the_budget() {
+    let mut world = World::new(5, Trouble::default(), 1, None);
+    let bundle = Box::new(example("waveform-to-catalog"));
+    for i in 0..400 {
+        let at = S * 5 + MS * 100 * i;
+        world.asks.push_back((at, Ask::Submit(bundle.clone())));
+    }
+    let mut world = world.run(S * 900);
+    world.check();
+    assert_eq!(world.broken, Vec::<String>::new());
+    // A second's worth may come at once.
+    let busiest = world.polls.values().max().copied().unwrap_or(0);
+    assert!((35..=80).contains(&busiest), "{busiest} a second");
+    assert!(world.turned_away > 20, "{} turned away", world.turned_away);
+    let complete = ends(&world, RunState::Complete);
+    assert_eq!(complete + world.turned_away, 400);
+    assert!(complete > 200, "{complete}");
+}
+
 /// What is known beforehand goes in at once, awaiting what comes before.
 #[test]
 fn a_pipeline_is_submitted_as_staff_would() {
