--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -95,11 +95,21 @@
         outputs: 0,
         failure: None,
     };
+    let process = load::load(&bundle, &bundle.main).expect("good");
     let before = resident();
     let runs: Vec<Active> = (0..count)
         .map(|number| {
             let id = RunId { range: 0, number };
-            let run = Active::new(id, record.clone(), bundle.clone(), vec![], 0, 8192, number);
+            let run = Active::new(
+                id,
+                record.clone(),
+                &process,
+                bundle.clone(),
+                vec![],
+                0,
+                8192,
+                number,
+            );
             let mut run = run.expect("good");
             run.next(Duration::ZERO, 0, 4);
             run
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use oliveshift_cwl::{Engine, load};
+use oliveshift_cwl::{Engine, document::Process};
 use oliveshift_wire::{
     JobId,
     job::{JobPhase, JobSpec},
@@ -19,7 +19,7 @@
 
 use crate::{
     flow::{Failure, JobKey, Run, Work},
-    job::{TaskResult, spec},
+    job::{Defaults, TaskResult, spec},
     records::{Bundle, JobRecord, RunId, RunRecord, RunState, piece_key, pieces, put, run_key},
 };
 
@@ -115,7 +115,7 @@
     record: RunRecord,
     /// As it is being written.
     writing: Option<RunRecord>,
-    bundle: Bundle,
+    defaults: Defaults,
     flow: Run,
     jobs: BTreeMap<JobKey, Job>,
     /// How many pieces its jobs take, those being written included.
@@ -130,22 +130,23 @@
 }
 
 impl Active {
-    /// A run as its records have it. `gone` is how long ago it was begun, and
-    /// `job_pieces` how many records its jobs are in.
+    /// A run of a process as its records have it; `job_pieces` is how many
+    /// records its jobs are in.
     ///
     /// # Errors
-    /// The document is none that can be run, with the fault in words.
+    /// The inputs don't fit, in words.
+    #[expect(clippy::too_many_arguments)]
     pub fn new(
         id: RunId,
         record: RunRecord,
+        process: &Process,
         bundle: Bundle,
         jobs: Vec<JobRecord>,
         job_pieces: usize,
         piece_bytes: usize,
         seed: u64,
     ) -> Result<Self, String> {
-        let process = load::load(&bundle, &bundle.main).map_err(|f| f.to_string())?;
-        let flow = Run::new(&process, &bundle.inputs, Engine::default());
+        let flow = Run::new(process, &bundle.inputs, Engine::default());
         let flow = flow.map_err(|f| f.to_string())?;
         let jobs = jobs.into_iter().map(|record| {
             let job = Job {
@@ -163,7 +164,7 @@
             id,
             record,
             writing: None,
-            bundle,
+            defaults: bundle.defaults,
             flow,
             jobs: jobs.collect(),
             job_pieces,
@@ -251,7 +252,7 @@
             let ids = awaits.iter().filter_map(|k| self.jobs.get(k));
             let ids = ids.map(|job| job.spec.id.clone()).collect();
             let gone = day_s.saturating_sub(self.record.begun_s) as f64;
-            let spec = spec(id, &needed, tasks, ids, &self.bundle.defaults, gone);
+            let spec = spec(id, &needed, tasks, ids, &self.defaults, gone);
             let job = Job {
                 awaits: Some(awaits),
                 spec,
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod active;
 pub mod api;
 mod budget;
+mod documents;
 pub mod flow;
 pub mod job;
 pub mod plan;
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -16,6 +16,7 @@
 use crate::{
     active::{self, Active, JobReply},
     budget::Budget,
+    documents::Documents,
     flow::JobKey,
     job::TaskResult,
     ranges::{self, Ranges},
@@ -344,6 +345,7 @@
     next_call: CallId,
     calls: HashMap<CallId, Pending>,
     ranges: Ranges,
+    documents: Documents,
     runs: BTreeMap<RunId, Held>,
     creating: BTreeMap<RunId, Creating>,
     store: Budget,
@@ -369,6 +371,7 @@
             store: Budget::new(settings.store_per_s),
             writes: Budget::new(settings.writes_per_s),
             jobs: Budget::new(settings.calls_per_s),
+            documents: Documents::default(),
             settings,
             rng,
             next_call: 0,
@@ -532,7 +535,19 @@
         let bad = if text.len() > MAX_BUNDLE {
             Some(format!("larger than {MAX_BUNDLE} bytes"))
         } else {
-            Active::new(id, record.clone(), bundle, Vec::new(), 0, piece, 0).err()
+            let made = self.documents.read(&bundle).and_then(|process| {
+                Active::new(
+                    id,
+                    record.clone(),
+                    &process,
+                    bundle,
+                    Vec::new(),
+                    0,
+                    piece,
+                    0,
+                )
+            });
+            made.err()
         };
         if let Some(bad) = bad {
             return self.out.push(Output::Answer(asker, Answer::Bad(bad)));
@@ -734,7 +749,11 @@
                 } = *all;
                 let seed = self.rng.u64(..);
                 let piece = self.settings.value_bytes;
-                let run = Active::new(id, record.clone(), bundle, jobs, job_pieces, piece, seed);
+                let process = self.documents.read(&bundle);
+                let run = process.and_then(|process| {
+                    let first = record.clone();
+                    Active::new(id, first, &process, bundle, jobs, job_pieces, piece, seed)
+                });
                 match run {
                     #[cfg_attr(not(feature = "sabotage"), expect(unused_mut))]
                     Ok(mut run) => {
