Workflows over loopback on real controllers of a simulated world

A simulated world is held to the clock, ten times as fast, and takes the requests of the users' API that come over loopback; both examples complete, each step with one job.

--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -12,6 +12,7 @@
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
+        mpsc,
     },
     thread::JoinHandle,
     time::{Duration, Instant},
@@ -21,9 +22,9 @@
 use async_io::{Async, Timer, block_on};
 use http_types::{Request, Response, StatusCode};
 use oliveshift_core::{Call, Method, Target};
-use oliveshift_testkit::{Done, State, StateLimits, tools};
+use oliveshift_testkit::{Done, Guest, GuestAsk, Size, State, StateLimits, Wish, World, tools};
 use oliveshift_wire::{
-    JobId, encode,
+    JobId, decode, encode,
     job::{JobPhase, JobSpec, JobStatus},
 };
 use serde_json::{Value, json};
@@ -175,7 +176,149 @@
     }
 }
 
+/// A request of the users' API on its way into the simulated world: path, body,
+/// and where its answer goes.
+type Wished = (String, Vec<u8>, mpsc::Sender<Option<(u16, Vec<u8>)>>);
+
+/// What a request wants.
+fn wish(path: &str, body: &[u8]) -> Option<Wish> {
+    let parts: Vec<_> = path.trim_matches('/').split('/').collect();
+    Some(match parts.as_slice() {
+        ["work"] => Wish::Submit(Box::new(JobSpec::parse(body).ok()?)),
+        ["work", id] => Wish::Poll(id.parse().ok()?),
+        ["work", id, "abort"] => Wish::Abort(id.parse().ok()?),
+        _ => return None,
+    })
+}
+
+/// Lets the world's time pass so many times as fast as ours.
+const SPEED: u32 = 10;
+
+/// Brings requests from outside into a simulated world, which it holds back to
+/// the pace of the clock until the test is over.
+struct Bridge {
+    wished: mpsc::Receiver<Wished>,
+    open: BTreeMap<u64, mpsc::Sender<Option<(u16, Vec<u8>)>>>,
+    next: u64,
+    started: Instant,
+    stop: Arc<AtomicBool>,
+}
+
+impl Guest for Bridge {
+    fn step(&mut self, now: Duration) -> Vec<GuestAsk> {
+        while self.started.elapsed() * SPEED < now && !self.stop.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let mut asks = Vec::new();
+        while let Ok((path, body, answer)) = self.wished.try_recv() {
+            let Some(what) = wish(&path, &body) else {
+                continue;
+            };
+            self.next += 1;
+            self.open.insert(self.next, answer);
+            asks.push(GuestAsk {
+                token: self.next,
+                what,
+            });
+        }
+        asks
+    }
+
+    fn answered(&mut self, _: Duration, token: u64, answer: Option<(u16, Vec<u8>)>) {
+        if let Some(open) = self.open.remove(&token) {
+            // Whoever asked may have given up.
+            let _ = open.send(answer);
+        }
+    }
+}
+
+/// The users' API of real controllers, in a simulated world that runs in a
+/// thread of its own.
+struct Controllers {
+    wishes: mpsc::Sender<Wished>,
+    specs: BTreeMap<JobId, JobSpec>,
+    jobs: Jobs,
+}
+
+impl Controllers {
+    fn new(jobs: Jobs, stop: Arc<AtomicBool>) -> Self {
+        let (wishes, wished) = mpsc::channel();
+        std::thread::spawn(move || {
+            let size = Size {
+                jobs: 0,
+                ..Size::SMALL
+            };
+            let mut world = World::sized(size, 15, Duration::ZERO, Vec::new(), None);
+            world.invite(Bridge {
+                wished,
+                open: BTreeMap::new(),
+                next: 0,
+                started: Instant::now(),
+                stop,
+            });
+            let outcome = world.run(Duration::from_secs(1200));
+            assert_eq!(outcome.broken, vec![]);
+        });
+        Self {
+            wishes,
+            specs: BTreeMap::new(),
+            jobs,
+        }
+    }
+
+    /// Asks the controllers and waits: the world is fast.
+    fn answer(&mut self, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        if let Some(Wish::Submit(spec)) = wish(path, body) {
+            let mut accepted = self.jobs.accepted.lock().expect("not poisoned");
+            if self
+                .specs
+                .insert(spec.id.clone(), (*spec).clone())
+                .is_none()
+            {
+                *accepted.entry(spec.class.clone()).or_default() += 1;
+            }
+        }
+        let (send, receive) = mpsc::channel();
+        if self
+            .wishes
+            .send((path.to_owned(), body.to_vec(), send))
+            .is_err()
+        {
+            return (503, Vec::new());
+        }
+        let Ok(Some((status, body))) = receive.recv_timeout(Duration::from_secs(4)) else {
+            return (503, Vec::new());
+        };
+        if let Ok(told) = decode::<JobStatus>(&body)
+            && told.phase == JobPhase::Done
+        {
+            // Its agents would have done so before they said that it is done.
+            self.jobs.leave(&self.specs[&told.id]);
+        }
+        (status, body)
+    }
+}
+
+/// Who answers for the users' API.
+enum Users {
+    StandIn(Jobs),
+    Controllers(Box<Controllers>),
+}
+
+impl Users {
+    fn answer(&mut self, now: Duration, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        match self {
+            Self::StandIn(jobs) => jobs.answer(now, path, body),
+            Self::Controllers(controllers) => controllers.answer(path, body),
+        }
+    }
+}
+
 fn outside(name: &str, failing: Option<&'static str>) -> Outside {
+    outside_of(name, failing, false)
+}
+
+fn outside_of(name: &str, failing: Option<&'static str>, controllers: bool) -> Outside {
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
     let (state, users) = (bind(), bind());
     let addr = |l: &TcpListener| l.local_addr().expect("its address");
@@ -199,12 +342,17 @@
             value_bytes: 16 * 1024,
             write_rps: 100.0,
         })));
-        let jobs = Rc::new(RefCell::new(Jobs {
+        let jobs = Jobs {
             objects,
             jobs: BTreeMap::new(),
             accepted,
             failing,
-        }));
+        };
+        let jobs = match controllers {
+            true => Users::Controllers(Box::new(Controllers::new(jobs, stop.clone()))),
+            false => Users::StandIn(jobs),
+        };
+        let jobs = Rc::new(RefCell::new(jobs));
         let answer_state = move |method: &str, path: &str, body: &[u8]| {
             let call = Call {
                 id: 0,
@@ -329,8 +477,12 @@
             "--zz\r\ncontent-disposition: form-data; name=\"{name}\"{file}\r\n\r\n{text}\r\n"
         );
     };
-    let read =
-        |path: &str| std::fs::read_to_string(Path::new(EXAMPLES).join(path)).expect("shipped");
+    // The simulated world has teams of its own.
+    let read = |path: &str| {
+        let text = std::fs::read_to_string(Path::new(EXAMPLES).join(path)).expect("shipped");
+        text.replace("network-ops", "red")
+            .replace("transcription", "blue")
+    };
     let inputs = oliveshift_cwl::load::values("i", &read(&format!("{example}.inputs.yaml")));
     let inputs = params.unwrap_or_else(|| inputs.expect("good").to_value());
     part("workflow_params", None, &inputs.to_string());
@@ -427,6 +579,32 @@
     assert_eq!(info["supported_wes_versions"], json!(["1.1.0"]));
 }
 
+/// Both examples on real controllers, whose world runs ten times as fast.
+#[test]
+fn controllers_run_the_examples() {
+    let outside = outside_of("controllers", None, true);
+    let wf = instance(&outside, "one");
+    let runs = ["waveform-to-catalog", "sheet-to-portal"].map(|example| {
+        let (_, run) = submit(wf.addr, example, None);
+        run["run_id"].as_str().expect("a run").to_owned()
+    });
+    for run in &runs {
+        let end = end_of(wf.addr, run);
+        assert_eq!(
+            end,
+            "COMPLETE",
+            "{}",
+            get(wf.addr, &format!("/runs/{run}")).1
+        );
+    }
+    let accepted = outside.accepted.lock().expect("not poisoned").clone();
+    assert_eq!(
+        accepted.values().collect::<Vec<_>>(),
+        [&1; 8],
+        "{accepted:?}"
+    );
+}
+
 /// Exit code, output and error of `oliveshift cwl`.
 fn cwl(args: &[&str]) -> (Option<i32>, String, String) {
     let output = Command::new(PROGRAM)
