--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -176,9 +176,11 @@
     }
 }
 
+/// Where an answer goes: status and body, or none.
+type Waiting = mpsc::Sender<Option<(u16, Vec<u8>)>>;
 /// A request of the users' API on its way into the simulated world: path, body,
-/// and where its answer goes.
-type Wished = (String, Vec<u8>, mpsc::Sender<Option<(u16, Vec<u8>)>>);
+/// and who waits for the answer.
+type Wished = (String, Vec<u8>, Waiting);
 
 /// What a request wants.
 fn wish(path: &str, body: &[u8]) -> Option<Wish> {
@@ -198,7 +200,7 @@
 /// the pace of the clock until the test is over.
 struct Bridge {
     wished: mpsc::Receiver<Wished>,
-    open: BTreeMap<u64, mpsc::Sender<Option<(u16, Vec<u8>)>>>,
+    open: BTreeMap<u64, Waiting>,
     next: u64,
     started: Instant,
     stop: Arc<AtomicBool>,
