cwl: what is small and means much is refused; a run's records as one value

Found by reading: a type with 100,000 brackets overflowed the stack, names of a map were looked for among all others, imports were bounded in values and not in bytes, and a scatter with JavaScript kept an instance busy for longer than its lease lasts.

Change: bounds for all of them, each with a test: 128 characters a type, 16 MiB and 256 files a document, 5,000 steps or inputs in one place, 10,000 evaluations a step.

--- a/crates/cwl/src/expr.rs
+++ b/crates/cwl/src/expr.rs
@@ -97,6 +97,12 @@
         self.pieces.iter().all(|p| matches!(p, Piece::Plain(_)))
     }
 
+    /// Whether it takes the engine to know its value.
+    pub fn runs_code(&self) -> bool {
+        let code = |p: &Piece| matches!(p, Piece::Expression(_) | Piece::Body(_));
+        self.pieces.iter().any(code)
+    }
+
     /// The place that it was read from.
     pub fn spot(&self) -> &Spot {
         &self.spot
--- a/crates/cwl/src/load.rs
+++ b/crates/cwl/src/load.rs
@@ -21,8 +21,10 @@
 
 /// The version of CWL that is understood.
 pub const VERSION: &str = "v1.2";
-/// The most files of one document.
+/// The most files of one document, each time that one is brought in.
 const MAX_FILES: usize = 256;
+/// The most bytes of all of them.
+const MAX_ALL_BYTES: usize = 16 << 20;
 /// The deepest nesting of workflows in workflows.
 const MAX_NESTED: usize = 16;
 /// The most values of a document, what is imported counted each time.
@@ -47,6 +49,8 @@
         resolver,
         files: BTreeMap::new(),
         values: 0,
+        reads: 0,
+        bytes: 0,
     };
     let (file, name) = match path.split_once('#') {
         Some((file, name)) => (file, Some(name)),
@@ -103,6 +107,8 @@
     resolver: &'a dyn Resolver,
     files: BTreeMap<String, Node>,
     values: usize,
+    reads: usize,
+    bytes: usize,
 }
 
 impl Loader<'_> {
@@ -124,8 +130,8 @@
             Some(spot) => spot.fault(what),
             None => nowhere(path, what),
         };
-        self.values += 1;
-        if self.files.len() > MAX_FILES {
+        self.reads += 1;
+        if self.reads > MAX_FILES {
             return Err(fault(format!("more than {MAX_FILES} files")));
         }
         let text = self.resolver.read(path);
@@ -136,6 +142,12 @@
                 yaml::MAX_BYTES
             )));
         }
+        self.bytes += text.len();
+        if self.bytes > MAX_ALL_BYTES {
+            return Err(fault(format!(
+                "more than {MAX_ALL_BYTES} bytes in all files"
+            )));
+        }
         Ok(text)
     }
 
--- a/crates/cwl/src/needs.rs
+++ b/crates/cwl/src/needs.rs
@@ -248,6 +248,17 @@
         }
     }
 
+    /// How many of them it takes the engine to know.
+    pub fn resources_run_code(&self) -> usize {
+        match self.get("ResourceRequirement") {
+            Some(Need::Resources(asked)) => {
+                let given = [&asked.cores, &asked.ram].into_iter().flatten();
+                given.filter(|t| t.runs_code()).count()
+            }
+            _ => 0,
+        }
+    }
+
     /// Variables of the environment.
     pub fn environment(&self) -> &[(String, Template)] {
         match self.get("EnvVarRequirement") {
--- a/crates/cwl/src/spot.rs
+++ b/crates/cwl/src/spot.rs
@@ -8,6 +8,9 @@
     yaml::{At, Data, Node},
 };
 
+/// The most steps, inputs and the like in one place.
+const MAX_NAMED: usize = 5_000;
+
 /// A value and the way to it from the document's top.
 #[derive(Clone, Debug)]
 pub struct Spot {
@@ -101,6 +104,14 @@
     /// There a value that is no map stands for one that only has `short`.
     pub fn named(&self, key: &str, short: Option<&str>) -> Result<Vec<(String, Spot)>, Fault> {
         let mut named: Vec<(String, Spot)> = Vec::new();
+        let count = match &self.node.data {
+            Data::List(list) => list.len(),
+            Data::Map(map) => map.len(),
+            _ => 0,
+        };
+        if count > MAX_NAMED {
+            return Err(self.fault(format!("more than {MAX_NAMED} of them")));
+        }
         match &self.node.data {
             Data::Null => {}
             Data::List(list) => {
--- a/crates/cwl/src/types.rs
+++ b/crates/cwl/src/types.rs
@@ -47,6 +47,9 @@
     Union(Vec<Type>),
 }
 
+/// The longest type that is written as a text; each `[]` is one more level.
+const MAX_TEXT: usize = 128;
+
 /// Types that a document names itself.
 pub type Names = BTreeMap<String, Type>;
 
@@ -57,6 +60,9 @@
     /// It is none, or none that is known.
     pub fn parse(spot: &Spot, names: &Names) -> Result<Self, Fault> {
         match &spot.node.data {
+            Data::Text(text) if text.len() > MAX_TEXT => {
+                Err(spot.fault(format!("a type of more than {MAX_TEXT} characters")))
+            }
             Data::Text(text) => Self::named(text, spot, names),
             Data::List(_) => {
                 let types = spot.one_or_list();
--- a/crates/cwl/src/values.rs
+++ b/crates/cwl/src/values.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use crate::{
-    document::{Common, Link, Merge, Method, Parameter, Pick, Secondary, Source, Step},
+    document::{Common, Link, Merge, Method, Parameter, Pick, Process, Secondary, Source, Step},
     engine::Engine,
     expr::{Object, Scope, Template},
     fault::Fault,
@@ -16,6 +16,11 @@
 /// The most members of a scatter.
 pub const MAX_MEMBERS: usize = 100_000;
 
+/// The most evaluations of JavaScript for all members of a step. Some take a
+/// quarter of a millisecond; whoever evaluates does nothing else meanwhile, and
+/// is taken for dead after some seconds.
+pub const MAX_EVALUATIONS: usize = 10_000;
+
 /// One run of a step.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -120,6 +125,10 @@
         base.insert_mut(input.name.clone(), value);
     }
     let (shape, objects) = scattered(step, &base)?;
+    if objects.len().saturating_mul(evaluations(step)) > MAX_EVALUATIONS {
+        let what = format!("scatter: more than {MAX_EVALUATIONS} evaluations of JavaScript");
+        return Err(step.spot.fault(what));
+    }
     let mut all = Vec::with_capacity(objects.len());
     for object in objects {
         all.push(member(step, object, contents, engine)?);
@@ -131,6 +140,22 @@
     Ok(Some(members))
 }
 
+/// How often each member of a step takes the engine.
+fn evaluations(step: &Step) -> usize {
+    let code = |template: Option<&Template>| usize::from(template.is_some_and(Template::runs_code));
+    let inputs = step.inputs.iter().map(|i| code(i.value_from.as_ref()));
+    let own = match &step.run {
+        Process::Tool(tool) => {
+            let found = tool.common.outputs.iter().filter_map(|o| o.found.as_ref());
+            let evals: usize = found.map(|f| code(f.eval.as_ref())).sum();
+            evals + tool.common.needs.resources_run_code()
+        }
+        Process::Expression(tool) => code(Some(&tool.expression)),
+        Process::Workflow(_) => 0,
+    };
+    inputs.sum::<usize>() + code(step.when.as_ref()) + own
+}
+
 /// The inputs of each member, before `valueFrom`.
 fn scattered(step: &Step, base: &Object) -> Result<(Vec<usize>, Vec<Object>), Fault> {
     if step.scatter.is_empty() {
--- a/crates/cwl/src/yaml.rs
+++ b/crates/cwl/src/yaml.rs
@@ -3,7 +3,10 @@
 //! Documents come from outside, so depth, size and what aliases stand for are
 //! bounded while a tree is built.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use saphyr_parser::{Event, Parser, ScalarStyle};
 
@@ -99,6 +102,7 @@
     items: Vec<Node>,
     /// The names of a map's values; none: it is a list.
     names: Option<Vec<Arc<str>>>,
+    seen: HashSet<Arc<str>>,
     /// A name that waits for its value.
     name: Option<Arc<str>>,
     /// How many values it holds, itself included.
@@ -216,6 +220,7 @@
             anchor,
             items: Vec::new(),
             names,
+            seen: HashSet::new(),
             name: None,
             size: 1,
         });
@@ -254,7 +259,7 @@
                             return Err(self.fault(line, what));
                         }
                     };
-                    if names.contains(&name) {
+                    if !open.seen.insert(name.clone()) {
                         return Err(self.fault(line, format!("`{name}` is named twice")));
                     }
                     open.name = Some(name);
@@ -332,6 +337,9 @@
             let fault = parse("f.cwl", text).expect_err(why);
             assert!(fault.to_string().contains(why), "{fault}");
         }
+        // Names are many, and none is looked for among all others.
+        let many: String = (0..90_000).map(|i| format!("k{i}: 1\n")).collect();
+        assert!(parse("f.cwl", &many).is_ok());
         let fault = parse("f.cwl", "a: 1\nb: [\n").expect_err("open");
         assert_eq!((fault.file.as_str(), fault.line >= 2), ("f.cwl", true));
     }
--- a/crates/cwl/tests/documents.rs
+++ b/crates/cwl/tests/documents.rs
@@ -341,3 +341,42 @@
     }
     assert!(read > 100 && refused > 1000, "{read} {refused}");
 }
+
+/// What is small and means much: each is refused, and soon.
+#[test]
+fn documents_that_blow_up_are_refused() {
+    let big = "x".repeat(3 << 20);
+    let list = |item: &str, n: usize| vec![item; n].join(", ");
+    let cases = [
+        (
+            TOOL.replace("a: string", &format!("a: 'int{}'", "[]".repeat(100_000))),
+            "a type of more than 128",
+        ),
+        (
+            TOOL.replace("echo", &format!("[{}]", list("{$include: big}", 8))),
+            "more than 16777216 bytes in all",
+        ),
+        (
+            TOOL.replace("echo", &format!("[{}]", list("{$include: small}", 300))),
+            "more than 256 files",
+        ),
+        (
+            TOOL.replace(
+                "{a: string}",
+                &format!("[{}]", list("{id: a, type: int}", 5001)),
+            ),
+            "more than 5000 of them",
+        ),
+    ];
+    for (text, why) in cases {
+        let mut files = one(&text);
+        files.0.insert("big", big.clone());
+        files.0.insert("small", "x".into());
+        let fault = load::load(&files, "w.cwl").expect_err(why);
+        assert!(
+            fault.to_string().contains(why),
+            "{:.200}",
+            fault.to_string()
+        );
+    }
+}
--- a/crates/cwl/tests/meaning.rs
+++ b/crates/cwl/tests/meaning.rs
@@ -580,6 +580,18 @@
     assert_eq!((got.shape, runs), (vec![3], vec![true, false, true]));
 }
 
+#[test]
+fn evaluations_are_bounded() {
+    let list: Vec<usize> = (0..4000).collect();
+    let given = json!({"a": list, "b": [], "c": [], "n": null});
+    // The tool itself is an expression, so each member is evaluated twice.
+    let step = "    in: {a: {source: a, valueFrom: $(self + 1)}}\n    scatter: a\n    when: $(inputs.a < 0)\n";
+    let error = run(step, &given).expect_err("too many");
+    assert_eq!(error, "scatter: more than 10000 evaluations of JavaScript");
+    let plain = "    in: {a: a}\n    scatter: a\n";
+    assert_eq!(run(plain, &given).expect("one each").members.len(), 4000);
+}
+
 #[test]
 fn expression_tools() {
     let text = "class: ExpressionTool
--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -18,7 +18,7 @@
     api::{self, Reply},
     job::{Defaults, TaskResult},
     plan::plan,
-    records::{Bundle, RunId, RunRecord, RunState},
+    records::{Bundle, RunId, RunRecord, RunState, Whole},
     service::{Answer, Ask, Input, Output, Service, Settings, StoreCall, StoreReply},
 };
 
@@ -100,16 +100,8 @@
     let runs: Vec<Active> = (0..count)
         .map(|number| {
             let id = RunId { range: 0, number };
-            let run = Active::new(
-                id,
-                record.clone(),
-                &process,
-                bundle.clone(),
-                vec![],
-                0,
-                8192,
-                number,
-            );
+            let whole = Whole::begun(record.clone(), bundle.clone());
+            let run = Active::new(id, &process, whole, 8192, number);
             let mut run = run.expect("good");
             run.next(Duration::ZERO, 0, 4);
             run
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -20,7 +20,7 @@
 use crate::{
     flow::{Failure, JobKey, Run, Work},
     job::{Defaults, TaskResult, spec},
-    records::{Bundle, JobRecord, RunId, RunRecord, RunState, piece_key, pieces, put, run_key},
+    records::{JobRecord, RunId, RunRecord, RunState, Whole, piece_key, pieces, put, run_key},
 };
 
 /// How often a job is asked after.
@@ -130,22 +130,24 @@
 }
 
 impl Active {
-    /// A run of a process as its records have it; `job_pieces` is how many
-    /// records its jobs are in.
+    /// A run of a process as its records have it.
     ///
     /// # Errors
     /// The inputs don't fit, in words.
-    #[expect(clippy::too_many_arguments)]
     pub fn new(
         id: RunId,
-        record: RunRecord,
         process: &Process,
-        bundle: Bundle,
-        jobs: Vec<JobRecord>,
-        job_pieces: usize,
+        whole: Whole,
         piece_bytes: usize,
         seed: u64,
     ) -> Result<Self, String> {
+        let Whole {
+            record,
+            bundle,
+            jobs,
+            job_pieces,
+            ..
+        } = whole;
         let flow = Run::new(process, &bundle.inputs, Engine::default());
         let flow = flow.map_err(|f| f.to_string())?;
         let jobs = jobs.into_iter().map(|record| {
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -156,6 +156,37 @@
     }
 }
 
+/// A run as it is written.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its state.
+    pub record: RunRecord,
+    /// The version of that.
+    pub version: u64,
+    /// What is run.
+    pub bundle: Bundle,
+    /// What came out; null until it is complete.
+    pub outputs: serde_json::Value,
+    /// The jobs of its steps.
+    pub jobs: Vec<JobRecord>,
+    /// How many records these are in.
+    pub job_pieces: usize,
+}
+
+impl Whole {
+    /// A run that has no jobs yet.
+    pub fn begun(record: RunRecord, bundle: Bundle) -> Self {
+        Self {
+            record,
+            version: 0,
+            bundle,
+            outputs: serde_json::Value::Null,
+            jobs: Vec::new(),
+            job_pieces: 0,
+        }
+    }
+}
+
 /// Who holds a range.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RangeRecord {
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -21,8 +21,8 @@
     job::TaskResult,
     ranges::{self, Ranges},
     records::{
-        Bundle, JobRecord, RunId, RunRecord, RunState, get, piece_key, pieces, put, put_text,
-        range_key, run_key, run_of,
+        Bundle, JobRecord, RunId, RunRecord, RunState, Whole, get, piece_key, pieces, put,
+        put_text, range_key, run_key, run_of,
     },
 };
 
@@ -224,17 +224,6 @@
     Jobs(Box<Whole>, Vec<Item>),
 }
 
-/// A run as it is written.
-#[derive(Debug)]
-struct Whole {
-    record: RunRecord,
-    version: u64,
-    bundle: Bundle,
-    outputs: serde_json::Value,
-    jobs: Vec<JobRecord>,
-    job_pieces: usize,
-}
-
 /// What came of reading on.
 enum Read {
     /// There is more.
@@ -289,12 +278,9 @@
                     n => serde_json::from_str(&join(&rest[..rest.len().min(n as usize)])).ok(),
                 };
                 let whole = Whole {
-                    record,
                     version,
-                    bundle,
                     outputs: outputs.unwrap_or_default(),
-                    jobs: Vec::new(),
-                    job_pieces: 0,
+                    ..Whole::begun(record, bundle)
                 };
                 Read::More(Self::Jobs(Box::new(whole), Vec::new()), page('j', None))
             }
@@ -392,7 +378,7 @@
     pub fn handle(&mut self, now: Duration, day_s: u64, input: Input) -> Vec<Output> {
         match input {
             Input::Tick => {}
-            Input::Store(call, reply) => self.stored(now, day_s, call, reply),
+            Input::Store(call, reply) => self.stored(now, call, reply),
             Input::Job(call, reply) => {
                 if let Some(Pending::Job(id, key, aborted)) = self.calls.remove(&call) {
                     if let JobReply::Later(Some(after)) = reply {
@@ -535,18 +521,9 @@
         let bad = if text.len() > MAX_BUNDLE {
             Some(format!("larger than {MAX_BUNDLE} bytes"))
         } else {
-            let made = self.documents.read(&bundle).and_then(|process| {
-                Active::new(
-                    id,
-                    record.clone(),
-                    &process,
-                    bundle,
-                    Vec::new(),
-                    0,
-                    piece,
-                    0,
-                )
-            });
+            let process = self.documents.read(&bundle);
+            let whole = Whole::begun(record.clone(), bundle);
+            let made = process.and_then(|p| Active::new(id, &p, whole, piece, 0));
             made.err()
         };
         if let Some(bad) = bad {
@@ -608,7 +585,7 @@
         true
     }
 
-    fn stored(&mut self, now: Duration, day_s: u64, call: CallId, reply: StoreReply) {
+    fn stored(&mut self, now: Duration, call: CallId, reply: StoreReply) {
         let Some(pending) = self.calls.remove(&call) else {
             return;
         };
@@ -696,7 +673,6 @@
             }
             Pending::Job(..) | Pending::Results(..) | Pending::Text(..) => {}
         }
-        let _ = day_s;
     }
 
     fn ranges_replied(&mut self, now: Duration, act: ranges::Act, reply: StoreReply) {
@@ -739,21 +715,11 @@
                 self.runs.remove(&id);
             }
             Read::All(all) => {
-                let Whole {
-                    record,
-                    version,
-                    bundle,
-                    jobs,
-                    job_pieces,
-                    ..
-                } = *all;
+                let (record, version) = (all.record.clone(), all.version);
                 let seed = self.rng.u64(..);
                 let piece = self.settings.value_bytes;
-                let process = self.documents.read(&bundle);
-                let run = process.and_then(|process| {
-                    let first = record.clone();
-                    Active::new(id, first, &process, bundle, jobs, job_pieces, piece, seed)
-                });
+                let process = self.documents.read(&all.bundle);
+                let run = process.and_then(|p| Active::new(id, &p, *all, piece, seed));
                 match run {
                     #[cfg_attr(not(feature = "sabotage"), expect(unused_mut))]
                     Ok(mut run) => {
