Workflows: ended runs are removed after keep_days

Need: the state service would fill up with ended runs.

Test: with crashes and lost answers nothing of a run that ended a minute ago stays.

--- a/crates/daemon/src/workflows/config.rs
+++ b/crates/daemon/src/workflows/config.rs
@@ -66,6 +66,8 @@
     pub lease_s: f64,
     /// In how many ranges runs are; the same for all instances, for good.
     pub ranges: u32,
+    /// For how many days ended runs are kept.
+    pub keep_days: f64,
 }
 
 impl Default for Limits {
@@ -79,6 +81,7 @@
             txn_ops: 10,
             lease_s: 10.0,
             ranges: 32,
+            keep_days: 30.0,
         }
     }
 }
@@ -126,6 +129,7 @@
             ("limits.writes_per_s", limits.writes_per_s, 1.0),
             ("limits.value_kb", limits.value_kb, 2.0),
             ("limits.lease_s", limits.lease_s, 2.0),
+            ("limits.keep_days", limits.keep_days, 0.01),
         ] {
             if !(least..=600_000.0).contains(&value) {
                 return bad(what, &format!("has to be at least {least}"));
@@ -156,6 +160,7 @@
             most_runs: limits.most_runs,
             value_bytes: (limits.value_kb * 1024.0) as usize,
             txn_ops: limits.txn_ops,
+            keep: Duration::from_secs_f64(limits.keep_days * 86_400.0),
         }
     }
 }
@@ -185,8 +190,8 @@
         writeln!(f, "object store:     {}", self.objects.display())?;
         write!(
             f,
-            "runs:             {} at a time, in {} ranges; taken over after {} s",
-            limits.most_runs, limits.ranges, limits.lease_s
+            "runs:             {} at a time, in {} ranges; taken over after {} s, kept for {} days",
+            limits.most_runs, limits.ranges, limits.lease_s, limits.keep_days
         )
     }
 }
--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -123,6 +123,7 @@
         most_runs: count,
         value_bytes: 8192,
         txn_ops: 20,
+        keep: S * 100_000,
     };
     let mut service = Service::new(settings, 1);
     let mut state = State::new(StateLimits {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -13,3 +13,4 @@
 mod ranges;
 pub mod records;
 pub mod service;
+mod sweep;
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -24,6 +24,7 @@
         Bundle, JobRecord, RunId, RunRecord, RunState, Whole, get, piece_key, pieces, put,
         put_text, range_key, run_key, run_of,
     },
+    sweep::{Step, Sweeps},
 };
 
 /// Names a request of ours; the reply carries it.
@@ -61,6 +62,8 @@
     pub value_bytes: usize,
     /// The most changes of a transaction.
     pub txn_ops: usize,
+    /// For how long ended runs are kept.
+    pub keep: Duration,
 }
 
 /// What the state service is asked.
@@ -202,6 +205,8 @@
     Cancel(AskId),
     List(AskId),
     Log(AskId, RunId, Stage),
+    SweepLook(RunId),
+    Sweep(RunId, usize),
 }
 
 impl Pending {
@@ -332,6 +337,7 @@
     calls: HashMap<CallId, Pending>,
     ranges: Ranges,
     documents: Documents,
+    sweeps: Sweeps,
     runs: BTreeMap<RunId, Held>,
     creating: BTreeMap<RunId, Creating>,
     store: Budget,
@@ -358,6 +364,7 @@
             writes: Budget::new(settings.writes_per_s),
             jobs: Budget::new(settings.calls_per_s),
             documents: Documents::default(),
+            sweeps: Sweeps::new(settings.keep),
             settings,
             rng,
             next_call: 0,
@@ -378,7 +385,7 @@
     pub fn handle(&mut self, now: Duration, day_s: u64, input: Input) -> Vec<Output> {
         match input {
             Input::Tick => {}
-            Input::Store(call, reply) => self.stored(now, call, reply),
+            Input::Store(call, reply) => self.stored(now, day_s, call, reply),
             Input::Job(call, reply) => {
                 if let Some(Pending::Job(id, key, aborted)) = self.calls.remove(&call) {
                     if let JobReply::Later(Some(after)) = reply {
@@ -585,7 +592,7 @@
         true
     }
 
-    fn stored(&mut self, now: Duration, call: CallId, reply: StoreReply) {
+    fn stored(&mut self, now: Duration, day_s: u64, call: CallId, reply: StoreReply) {
         let Some(pending) = self.calls.remove(&call) else {
             return;
         };
@@ -615,10 +622,12 @@
                     let last = items.last().map(|i| i.key.clone());
                     for item in &items {
                         let record: Option<RunRecord> = get(item);
-                        if let (Some(id), Some(record)) = (run_of(&item.key), record)
-                            && !record.state.is_final()
-                            && !self.creating.contains_key(&id)
-                        {
+                        let (Some(id), Some(record)) = (run_of(&item.key), record) else {
+                            continue;
+                        };
+                        if record.state.is_final() {
+                            self.sweeps.seen(id, &record, day_s);
+                        } else if !self.creating.contains_key(&id) {
                             self.runs.entry(id).or_insert(Held::ToLoad(now));
                         }
                     }
@@ -664,6 +673,14 @@
                 self.out.push(Output::Answer(asker, answer));
             }
             Pending::Log(asker, id, stage) => self.logged(asker, id, stage, reply),
+            Pending::SweepLook(id) => match &reply {
+                StoreReply::Page(items, more) => self.sweeps.looked(id, Some((items, *more))),
+                _ => self.sweeps.looked(id, None),
+            },
+            Pending::Sweep(id, count) => {
+                let done = matches!(reply, StoreReply::Done(_));
+                self.sweeps.removed(id, done.then_some(count));
+            }
             Pending::Cancel(asker) => {
                 let answer = match reply {
                     StoreReply::Done(_) => Answer::Cancelling,
@@ -861,6 +878,7 @@
             }
         }
         self.create_on(now);
+        self.sweep_on(now);
         // Each run gets its turn, whoever was first last time.
         let ids: Vec<RunId> = self.runs.keys().copied().collect();
         let first = ids.partition_point(|id| Some(*id) <= self.turn);
@@ -904,6 +922,31 @@
         }
     }
 
+    /// Removes runs that have been kept for long enough, in what is left of the
+    /// budgets.
+    fn sweep_on(&mut self, now: Duration) {
+        let at_once = self.at_once();
+        while self.store.left(now) > 2 && self.writes.left(now) > at_once {
+            match self.sweeps.next(at_once) {
+                Some(Step::Look(id, after)) => {
+                    let prefix = format!("{}/", run_key('j', id));
+                    let call = StoreCall::Page { prefix, after };
+                    self.store(Pending::SweepLook(id), call);
+                }
+                Some(Step::Remove(id, changes)) => {
+                    let mut conds = Vec::new();
+                    if !self.fence(id.range, &mut conds) {
+                        self.sweeps.removed(id, None);
+                        continue;
+                    }
+                    let pending = Pending::Sweep(id, changes.len());
+                    self.store(pending, StoreCall::Txn(Txn { conds, changes }));
+                }
+                None => return,
+            }
+        }
+    }
+
     fn run_on(&mut self, now: Duration, day_s: u64, id: RunId) {
         let fenced = |version: u64| {
             vec![Cond {
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -91,6 +91,7 @@
     turned_away: usize,
     broken: Vec<String>,
     sabotage: Option<Sabotage>,
+    keep: Duration,
 }
 
 impl World {
@@ -123,6 +124,7 @@
             turned_away: 0,
             broken: Vec::new(),
             sabotage,
+            keep: S * 100_000,
         }
     }
 
@@ -137,6 +139,7 @@
             most_runs: 300,
             value_bytes: 2 * 1024,
             txn_ops: 6,
+            keep: S * 100_000,
         }
     }
 
@@ -200,7 +203,11 @@
             let instance = &mut self.instances[n];
             if instance.service.is_none() && self.now >= instance.back_at {
                 let seed = self.rng.u64(..);
-                let mut service = Service::new(Self::settings(n), seed);
+                let settings = Settings {
+                    keep: self.keep,
+                    ..Self::settings(n)
+                };
+                let mut service = Service::new(settings, seed);
                 service.sabotage = self.sabotage;
                 instance.service = Some(service);
                 instance.life += 1;
@@ -695,6 +702,40 @@
     assert!(complete > 200, "{complete}");
 }
 
+/// Ended runs are removed after their time, whoever crashes meanwhile, and
+/// nothing of them stays.
+#[test]
+fn ended_runs_are_removed() {
+    let trouble = Trouble {
+        crashes: true,
+        lost: 0.05,
+        ..Trouble::default()
+    };
+    let mut world = World::new(8, trouble, 2, None);
+    world.keep = S * 60;
+    let bundle = Box::new(example("waveform-to-catalog"));
+    for i in 0..12 {
+        world
+            .asks
+            .push_back((S * (5 + 5 * i), Ask::Submit(bundle.clone())));
+    }
+    // One that nobody removes as long as the day lasts keeps it going.
+    world.asks.push_back((S * 700, Ask::Submit(bundle)));
+    let mut world = world.run(S * 900);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert!(world.finals.len() >= 8, "{}", world.finals.len());
+    let kept = |id: &RunId| world.finals[id].ended_s.is_some_and(|e| e > 1_800_000_600);
+    let kept: Vec<RunId> = world.finals.keys().copied().filter(kept).collect();
+    assert!(kept.len() <= 1 && world.items("wf/r/").len() <= 3);
+    for kind in ["r", "t", "j", "c"] {
+        for item in world.items(&format!("wf/{kind}/")) {
+            let id = run_of(&item.key).expect("a run's key");
+            let told = world.begun.contains(&id);
+            assert!(kept.contains(&id) || !told, "{}", item.key);
+        }
+    }
+}
+
 /// What is known beforehand goes in at once, awaiting what comes before.
 #[test]
 fn a_pipeline_is_submitted_as_staff_would() {
--- a/crates/workflow/tests/sides.rs
+++ b/crates/workflow/tests/sides.rs
@@ -224,6 +224,7 @@
             most_runs: 100,
             value_bytes: 8 * 1024,
             txn_ops: 10,
+            keep: S * 100_000,
         };
         let limits = StateLimits {
             txn_ops: 20,
