--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -111,7 +111,7 @@
             }
             Timer::after(TICK).await;
             ticks = ticks.wrapping_add(1);
-            if ticks % PRUNE_EVERY == 0 {
+            if ticks.is_multiple_of(PRUNE_EVERY) {
                 runtime.client.prune();
             }
         }
--- a/crates/daemon/src/workflows/front.rs
+++ b/crates/daemon/src/workflows/front.rs
@@ -81,7 +81,7 @@
             front.input(Input::Tick);
             Timer::after(TICK).await;
             ticks = ticks.wrapping_add(1);
-            if ticks % 100 == 0 {
+            if ticks.is_multiple_of(100) {
                 front.client.prune();
             }
         }
--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -103,7 +103,7 @@
             let whole = Whole::begun(record.clone(), bundle.clone());
             let run = Active::new(id, &process, whole, 8192, number);
             let mut run = run.expect("good");
-            run.next(Duration::ZERO, 0, 4);
+            run.next(Duration::ZERO, 0, 4, true);
             run
         })
         .collect();
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -215,9 +215,9 @@
         self.cancel = true;
     }
 
-    /// What is to be done now, at most so much; `day_s` is the time of day in
-    /// seconds since 1970.
-    pub fn next(&mut self, now: Duration, day_s: u64, most: usize) -> Vec<Act> {
+    /// What is to be done now: at most so many requests, and a write only if it
+    /// may be. `day_s` is the time of day in seconds since 1970.
+    pub fn next(&mut self, now: Duration, day_s: u64, most: usize, may_write: bool) -> Vec<Act> {
         if self.record.state.is_final() {
             return Vec::new();
         }
@@ -225,7 +225,7 @@
         if self.record.state == RunState::Running {
             self.advance(day_s);
         }
-        if self.writing.is_none() {
+        if may_write && self.writing.is_none() {
             acts.extend(self.write(day_s));
         }
         if self.record.state == RunState::Running {
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -975,11 +975,12 @@
             }
             Some(Held::Active(run, version)) => {
                 let left = self.jobs.left(now);
-                if left == 0 && self.store.left(now) == 0 {
+                let may_write = self.store.left(now) > 0 && self.writes.left(now) > 0;
+                if left == 0 && !may_write {
                     return;
                 }
                 let version = *version;
-                let acts = run.next(now, day_s, left);
+                let acts = run.next(now, day_s, left, may_write);
                 for act in acts {
                     self.act(id, version, act);
                 }
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -87,6 +87,8 @@
     failing: BTreeMap<RunId, Duration>,
     /// Submissions and questions, by second.
     polls: BTreeMap<u64, usize>,
+    /// Requests to the state service, by second.
+    stores: BTreeMap<u64, usize>,
     writes: usize,
     turned_away: usize,
     broken: Vec<String>,
@@ -120,6 +122,7 @@
             finals: BTreeMap::new(),
             failing: BTreeMap::new(),
             polls: BTreeMap::new(),
+            stores: BTreeMap::new(),
             writes: 0,
             turned_away: 0,
             broken: Vec::new(),
@@ -272,6 +275,7 @@
         let second = self.now.as_secs();
         match output {
             Output::Store(call, ask) => {
+                *self.stores.entry(second).or_default() += 1;
                 self.at(
                     S * 2,
                     Event::Input(
@@ -696,6 +700,8 @@
     // A second's worth may come at once.
     let busiest = world.polls.values().max().copied().unwrap_or(0);
     assert!((35..=80).contains(&busiest), "{busiest} a second");
+    let busiest = world.stores.values().max().copied().unwrap_or(0);
+    assert!((50..=120).contains(&busiest), "{busiest} a second");
     assert!(world.turned_away > 20, "{} turned away", world.turned_away);
     let complete = ends(&world, RunState::Complete);
     assert_eq!(complete + world.turned_away, 400);
