cwl: what was written twice is written once

Found in a second reading: files were placed and a tool's needs found in two places, what a file is put in place from twice, patterns of an output evaluated again for their fault; requirements were read and then merged by both callers; a check that nobody used.

--- a/crates/cwl/src/command.rs
+++ b/crates/cwl/src/command.rs
@@ -75,22 +75,12 @@
 /// An expression throws, or gives what is no word.
 pub fn command(tool: &Tool, inputs: &Object, engine: &Engine) -> Result<CommandLine, Fault> {
     let common = &tool.common;
-    let library = common.needs.library();
-    let mut staged = Vec::new();
-    let mut placed = Object::default();
-    for (number, (name, value)) in inputs.iter().enumerate() {
-        let mut value = (**value).clone();
-        place(&mut value, &format!("in/{number}"), &mut staged);
-        placed.insert_mut(name.clone(), Arc::new(value));
-    }
-    let mut scope = Scope {
-        inputs: placed,
-        own: Value::Null,
-        runtime: Value::Null,
-        library,
-    };
-    let (cores, ram_mib) = common.needs.resources(&scope, engine)?;
-    scope.runtime = runtime(cores, ram_mib);
+    let Prepared {
+        scope,
+        mut staged,
+        cores,
+        ram_mib,
+    } = prepared(tool, inputs, engine)?;
     if let Some(dir) = common.needs.work_dir() {
         work_dir(dir, &scope, engine, &mut staged)?;
     }
@@ -132,6 +122,40 @@
     })
 }
 
+/// What a tool's expressions see, and what it was worked out with.
+struct Prepared<'a> {
+    scope: Scope<'a>,
+    staged: Vec<Staged>,
+    cores: f64,
+    ram_mib: f64,
+}
+
+/// Gives the files that go in their places, and finds out what the tool needs.
+fn prepared<'a>(tool: &'a Tool, inputs: &Object, engine: &Engine) -> Result<Prepared<'a>, Fault> {
+    let mut staged = Vec::new();
+    let mut placed = Object::default();
+    for (number, (name, value)) in inputs.iter().enumerate() {
+        let mut value = (**value).clone();
+        place(&mut value, &format!("in/{number}"), &mut staged);
+        placed.insert_mut(name.clone(), Arc::new(value));
+    }
+    let needs = &tool.common.needs;
+    let mut scope = Scope {
+        inputs: placed,
+        own: Value::Null,
+        runtime: Value::Null,
+        library: needs.library(),
+    };
+    let (cores, ram_mib) = needs.resources(&scope, engine)?;
+    scope.runtime = runtime(cores, ram_mib);
+    Ok(Prepared {
+        scope,
+        staged,
+        cores,
+        ram_mib,
+    })
+}
+
 /// The files that standard output and error go to.
 fn streams(
     tool: &Tool,
@@ -198,18 +222,9 @@
         "file".to_owned()
     };
     let path = format!("{dir}/{name}");
-    let text = |map: &Map<String, Value>, name: &str| {
-        map.get(name).and_then(Value::as_str).map(str::to_owned)
-    };
-    let what = match (text(map, "location"), text(map, "contents")) {
-        (Some(location), _) => Put::Location(location),
-        (None, Some(contents)) => Put::Text(contents),
-        (None, None) if is_dir => Put::Directory,
-        (None, None) => Put::Text(String::new()),
-    };
     staged.push(Staged {
         path: path.clone(),
-        what,
+        what: what_of(map, is_dir),
         writable: false,
     });
     let (root, ext) = match name.rfind('.') {
@@ -237,6 +252,17 @@
     }
 }
 
+/// What a file or directory is put in place from.
+fn what_of(map: &Map<String, Value>, is_dir: bool) -> Put {
+    let text = |name: &str| map.get(name).and_then(Value::as_str).map(str::to_owned);
+    match (text("location"), text("contents")) {
+        (Some(location), _) => Put::Location(location),
+        (None, Some(contents)) => Put::Text(contents),
+        (None, None) if is_dir => Put::Directory,
+        (None, None) => Put::Text(String::new()),
+    }
+}
+
 fn place_beside(file: &mut Value, dir: &str, staged: &mut Vec<Staged>) {
     let is_dir = class_of(file) == Some("Directory");
     if let Value::Object(map) = file {
@@ -298,13 +324,7 @@
         }
         Value::Object(map) if map.contains_key("class") => {
             let path = name.unwrap_or_else(|| basename(value).to_owned());
-            let text = |name: &str| map.get(name).and_then(Value::as_str);
-            let what = match (text("location"), text("contents"), class_of(value)) {
-                (Some(location), ..) => Put::Location(location.to_owned()),
-                (None, Some(contents), _) => Put::Text(contents.to_owned()),
-                (None, None, Some("Directory")) => Put::Directory,
-                _ => Put::Text(String::new()),
-            };
+            let what = what_of(map, class_of(value) == Some("Directory"));
             if !is_name(&path) {
                 return Err(format!("`{path}` is no file's name"));
             }
@@ -466,11 +486,7 @@
         && matches!(outer.kind, Type::Array(_))
         && binding.value_from.is_none()
     {
-        part.binding = Some(Binding {
-            separate: true,
-            quote: binding.quote,
-            ..Binding::default()
-        });
+        part.binding = Some(Binding::word(binding.quote));
     }
     if matches!(outer.below, Below::Choice(_))
         && let (Some(binding), Type::Array(_)) = (&outer.binding, &part.kind)
@@ -480,11 +496,7 @@
         && binding.value_from.is_none()
     {
         // `string[]?` is an array too, whose prefix has been given already.
-        item.binding = Some(Binding {
-            separate: true,
-            quote: binding.quote,
-            ..Binding::default()
-        });
+        item.binding = Some(Binding::word(binding.quote));
     }
 }
 
@@ -655,20 +667,7 @@
     let common = &tool.common;
     let left = dir.list();
     let by_path: BTreeMap<&str, &Left> = left.iter().map(|l| (l.path.as_str(), l)).collect();
-    let mut placed = Object::default();
-    for (number, (name, value)) in inputs.iter().enumerate() {
-        let mut value = (**value).clone();
-        place(&mut value, &format!("in/{number}"), &mut Vec::new());
-        placed.insert_mut(name.clone(), Arc::new(value));
-    }
-    let mut scope = Scope {
-        inputs: placed,
-        own: Value::Null,
-        runtime: Value::Null,
-        library: common.needs.library(),
-    };
-    let (cores, ram) = common.needs.resources(&scope, engine)?;
-    scope.runtime = runtime(cores, ram);
+    let mut scope = prepared(tool, inputs, engine)?.scope;
     if let Value::Object(map) = &mut scope.runtime {
         map.insert("exitCode".into(), code.into());
     }
@@ -726,16 +725,20 @@
                 }
             };
         };
-        let matching = self.matching(found)?;
+        let globs = self.globs(found)?;
+        let patterns = || {
+            let patterns: Vec<_> = globs.iter().map(|(_, p)| p.as_str()).collect();
+            patterns.join(", ")
+        };
+        let matching = self.matching(&globs)?;
         let one = found.eval.is_none() && !wants_array(&self.output.kind);
         match matching.len() {
             _ if !one => {}
             0 if self.output.kind.is_optional() => return Ok(Value::Null),
-            0 => return Err(spot.fault(format!("no file matches {}", self.patterns(found)?))),
+            0 => return Err(spot.fault(format!("no file matches {}", patterns()))),
             1 => {}
             n => {
-                let patterns = self.patterns(found)?;
-                let what = format!("{n} files match {patterns}, one is expected");
+                let what = format!("{n} files match {}, one is expected", patterns());
                 return Err(spot.fault(what));
             }
         }
@@ -768,41 +771,38 @@
         }
     }
 
-    fn patterns(&self, found: &Found) -> Result<String, Fault> {
-        let mut patterns = Vec::new();
+    /// The patterns of an output, each with where it stands.
+    fn globs<'f>(&self, found: &'f Found) -> Result<Vec<(&'f Template, String)>, Fault> {
+        let mut globs = Vec::new();
         for template in &found.glob {
             match template.eval(self.scope, self.engine)? {
-                Value::Array(list) => patterns.extend(list.iter().map(as_word)),
-                other => patterns.push(as_word(&other)),
+                Value::Array(list) => {
+                    globs.extend(list.iter().map(|pattern| (template, as_word(pattern))));
+                }
+                other => globs.push((template, as_word(&other))),
             }
         }
-        Ok(patterns.join(", "))
+        Ok(globs)
     }
 
-    fn matching(&self, found: &Found) -> Result<Vec<&Left>, Fault> {
+    fn matching(&self, globs: &[(&Template, String)]) -> Result<Vec<&Left>, Fault> {
         let mut files: Vec<&Left> = Vec::new();
-        for template in &found.glob {
-            let patterns = match template.eval(self.scope, self.engine)? {
-                Value::Array(list) => list.iter().map(as_word).collect(),
-                other => vec![as_word(&other)],
-            };
-            for pattern in patterns {
-                let pattern = pattern.trim_start_matches("./").trim_end_matches('/');
-                if pattern.starts_with('/') || pattern.split('/').any(|p| p == "..") {
-                    let what = format!("`{pattern}` leads out of the working directory");
-                    return Err(template.spot().fault(what));
-                }
-                let glob = GlobBuilder::new(pattern).literal_separator(true).build();
-                let glob = glob.map_err(|e| template.spot().fault(e.to_string()))?;
-                let glob = glob.compile_matcher();
-                let mut matching: Vec<_> = self
-                    .left
-                    .iter()
-                    .filter(|l| glob.is_match(&l.path))
-                    .collect();
-                matching.sort_by(|a, b| a.path.cmp(&b.path));
-                files.extend(matching);
+        for (template, pattern) in globs {
+            let pattern = pattern.trim_start_matches("./").trim_end_matches('/');
+            if pattern.starts_with('/') || pattern.split('/').any(|p| p == "..") {
+                let what = format!("`{pattern}` leads out of the working directory");
+                return Err(template.spot().fault(what));
             }
+            let glob = GlobBuilder::new(pattern).literal_separator(true).build();
+            let glob = glob.map_err(|e| template.spot().fault(e.to_string()))?;
+            let glob = glob.compile_matcher();
+            let mut matching: Vec<_> = self
+                .left
+                .iter()
+                .filter(|l| glob.is_match(&l.path))
+                .collect();
+            matching.sort_by(|a, b| a.path.cmp(&b.path));
+            files.extend(matching);
         }
         Ok(files)
     }
--- a/crates/cwl/src/document.rs
+++ b/crates/cwl/src/document.rs
@@ -158,6 +158,17 @@
     pub quote: bool,
 }
 
+impl Binding {
+    /// A word by itself.
+    pub fn word(quote: bool) -> Self {
+        Self {
+            separate: true,
+            quote,
+            ..Self::default()
+        }
+    }
+}
+
 /// A command line tool.
 #[derive(Clone, Debug)]
 pub struct Tool {
--- a/crates/cwl/src/load.rs
+++ b/crates/cwl/src/load.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     document::{
-        Common, ExpressionTool, Link, Merge, Method, Pick, Process, Source, Step, StepInput, Tool,
-        Workflow, binding, link, outputs, parameters,
+        Binding, Common, ExpressionTool, Link, Merge, Method, Pick, Process, Source, Step,
+        StepInput, Tool, Workflow, binding, link, outputs, parameters,
     },
     expr::Template,
     fault::Fault,
@@ -287,12 +287,7 @@
         fields.remarks();
         fields.get("cwlVersion");
         let class = fields.need("class")?;
-        let needs = Needs::parse(
-            fields.get("requirements").as_ref(),
-            fields.get("hints").as_ref(),
-            outer,
-        )?;
-        let needs = needs.within(outer);
+        let needs = Needs::of(&mut fields, outer)?;
         let names = needs.names();
         let js = needs.library().is_some();
         let common = Common {
@@ -417,12 +412,7 @@
     ) -> Result<Step, Fault> {
         let mut fields = spot.fields()?;
         fields.remarks();
-        let needs = Needs::parse(
-            fields.get("requirements").as_ref(),
-            fields.get("hints").as_ref(),
-            outer,
-        )?;
-        let needs = needs.within(outer);
+        let needs = Needs::of(&mut fields, outer)?;
         let js = needs.library().is_some();
         let run = fields.need("run")?;
         let process = match run.text() {
@@ -510,7 +500,7 @@
     }
 }
 
-fn argument(spot: &Spot, js: bool) -> Result<crate::document::Binding, Fault> {
+fn argument(spot: &Spot, js: bool) -> Result<Binding, Fault> {
     if matches!(spot.node.data, Data::Map(_)) {
         let (binding, _) = binding(spot, js)?;
         if binding.value_from.is_none() {
@@ -519,11 +509,9 @@
         return Ok(binding);
     }
     spot.text()?;
-    Ok(crate::document::Binding {
-        separate: true,
-        quote: true,
+    Ok(Binding {
         value_from: Some(Template::parse(spot, js)?),
-        ..Default::default()
+        ..Binding::word(true)
     })
 }
 
--- a/crates/cwl/src/needs.rs
+++ b/crates/cwl/src/needs.rs
@@ -8,7 +8,7 @@
     engine::Engine,
     expr::{Scope, Template},
     fault::Fault,
-    spot::{Spot, local},
+    spot::{Fields, Spot, local},
     types::{Names, Type},
 };
 
@@ -125,32 +125,28 @@
 }
 
 impl Needs {
-    /// Reads `requirements` and `hints` of a process or a step.
+    /// Reads `requirements` and `hints` of a process or a step, within what holds
+    /// around it.
     ///
     /// # Errors
     /// A requirement that is not known or not supported, or a hint that is not
     /// well formed.
-    pub fn parse(
-        requirements: Option<&Spot>,
-        hints: Option<&Spot>,
-        outer: &Needs,
-    ) -> Result<Self, Fault> {
+    pub fn of(fields: &mut Fields, outer: &Needs) -> Result<Self, Fault> {
         let mut needs = Self::default();
-        let empty = Vec::new();
-        let required = match requirements {
-            Some(spot) => spot.named("class", None)?,
-            None => empty.clone(),
-        };
-        let hinted = match hints {
-            Some(spot) => spot.named("class", None)?,
-            None => empty,
+        let mut named = |name| -> Result<_, Fault> {
+            let spot = fields.get(name);
+            Ok(spot
+                .map(|s| s.named("class", None))
+                .transpose()?
+                .unwrap_or_default())
         };
+        let (required, hinted) = (named("requirements")?, named("hints")?);
         // JavaScript and types first: the others may use them.
-        let early =
+        let late =
             |name: &str| !matches!(name, "InlineJavascriptRequirement" | "SchemaDefRequirement");
         for (list, is_hint) in [(required, false), (hinted, true)] {
             let mut list = list;
-            list.sort_by_key(|(name, _)| early(name));
+            list.sort_by_key(|(name, _)| late(name));
             for (name, spot) in list {
                 let merged = needs.within(outer);
                 let read = read(&name, &spot, is_hint, &merged)?;
@@ -165,12 +161,12 @@
                 }
             }
         }
-        Ok(needs)
+        Ok(needs.within(outer))
     }
 
     /// These within a workflow or step that has some itself: the inner ones
     /// count, and requirements before hints.
-    pub fn within(&self, outer: &Needs) -> Self {
+    fn within(&self, outer: &Needs) -> Self {
         let merge = |outer: &Classes, inner: &Classes| {
             let mut all = outer.clone();
             for (class, need) in inner {
@@ -306,11 +302,6 @@
             _ => Placement::default(),
         }
     }
-
-    /// Whether a feature is asked for.
-    pub fn has(&self, class: &str) -> bool {
-        self.get(class).is_some()
-    }
 }
 
 fn positive(given: &Template, scope: &Scope<'_>, engine: &Engine) -> Result<f64, Fault> {
@@ -449,10 +440,7 @@
             }
             ("LoadListingRequirement", Need::Granted)
         }
-        other if is_hint => {
-            let _ = other;
-            return Ok(None);
-        }
+        _ if is_hint => return Ok(None),
         "SoftwareRequirement" | "InplaceUpdateRequirement" => {
             return Err(spot.fault(format!("`{name}` is not supported")));
         }
@@ -495,7 +483,7 @@
     Ok(entry)
 }
 
-fn placement(fields: &mut crate::spot::Fields) -> Result<Placement, Fault> {
+fn placement(fields: &mut Fields) -> Result<Placement, Fault> {
     let mut text = |name| -> Result<Option<(String, Spot)>, Fault> {
         let spot = fields.get(name);
         spot.map(|s| Ok((s.text()?.to_owned(), s))).transpose()
