--- a/crates/xtask/src/regress.rs
+++ b/crates/xtask/src/regress.rs
@@ -267,11 +267,15 @@
     let mut newest = BTreeMap::new();
     let mut all = Vec::new();
     for path in journal::files(&journal)? {
+        let is_new = !before.contains(&path);
+        if !is_new && !options.accept {
+            continue;
+        }
         let entry = journal::read(&path)?;
         if options.accept {
             all.push(entry.clone());
         }
-        if before.contains(&path) {
+        if !is_new {
             continue;
         }
         if let Some(site) = entry.site.clone()
