--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::{SocketAddr, SocketAddrV4, TcpListener},
+    net::{SocketAddr, SocketAddrV4},
     process::ExitCode,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -11,7 +11,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use async_io::{Async, Timer, block_on};
+use async_io::{Timer, block_on};
 use futures_lite::future::yield_now;
 use oliveshift_core::{
     Answer, Call, Close, ConnId, Controller, Input, Method, Now, Output, Reply, Request, Side,
@@ -19,14 +19,12 @@
 };
 use oliveshift_wire::settings::Settings;
 
-use crate::{client::Client, lanes::Lanes, server};
+use crate::{client::Client, lanes::Lanes, server, stream};
 
 /// How often the state machine hears that time has passed.
 const TICK: Duration = Duration::from_millis(50);
 /// How often idle connections are looked through.
 const PRUNE_EVERY: u32 = 200;
-/// How long to wait after an address could not be bound or accepted from.
-const RETRY: Duration = Duration::from_millis(200);
 
 /// The process around the state machine.
 pub struct Runtime {
@@ -284,29 +282,15 @@
     }
 
     async fn listen(self: Rc<Self>, addr: SocketAddrV4, side: Side) {
-        let listener = loop {
-            match Async::<TcpListener>::bind(addr) {
-                Ok(listener) => break listener,
-                Err(e) => log::error!("{addr} can not be listened on: {e}"),
-            }
-            Timer::after(RETRY).await;
-        };
+        let listener = stream::bind(addr).await;
         loop {
-            match listener.accept().await {
-                Ok((tcp, _)) => {
-                    let id = SocketId(self.next_socket.get());
-                    self.next_socket.set(id.0 + 1);
-                    let runtime = self.clone();
-                    let serve = server::begin(runtime, id, tcp, side);
-                    let serve = self.lanes.urgent(serve);
-                    self.serving.borrow_mut().insert(id, serve);
-                    self.input(Input::Opened(id, side));
-                }
-                Err(e) => {
-                    log::error!("connections can not be accepted: {e}");
-                    Timer::after(RETRY).await;
-                }
-            }
+            let tcp = stream::accept(&listener).await;
+            let id = SocketId(self.next_socket.get());
+            self.next_socket.set(id.0 + 1);
+            let serve = server::begin(self.clone(), id, tcp, side);
+            let serve = self.lanes.urgent(serve);
+            self.serving.borrow_mut().insert(id, serve);
+            self.input(Input::Opened(id, side));
         }
     }
 }
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -1,20 +1,46 @@
-//! A TCP stream that several owners may read and write, and that stops giving
-//! out bytes once its allowance is used up.
+//! Listening, and a TCP stream that several owners may read and write, and that
+//! stops giving out bytes once its allowance is used up.
 
 use std::{
     io,
-    net::{Shutdown, TcpStream},
+    net::{Shutdown, SocketAddrV4, TcpListener, TcpStream},
     pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
 
+/// How long to wait after an address could not be bound or accepted from.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Listens at an address; if that can't be had, it is tried until it can.
+pub async fn bind(addr: SocketAddrV4) -> Async<TcpListener> {
+    loop {
+        match Async::<TcpListener>::bind(addr) {
+            Ok(listener) => return listener,
+            Err(e) => log::error!("{addr} can not be listened on: {e}"),
+        }
+        Timer::after(RETRY).await;
+    }
+}
+
+/// The next connection.
+pub async fn accept(listener: &Async<TcpListener>) -> Async<TcpStream> {
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _)) => return tcp,
+            Err(e) => log::error!("connections can not be accepted: {e}"),
+        }
+        Timer::after(RETRY).await;
+    }
+}
+
 /// The stream; clones share it.
 #[derive(Clone, Debug)]
 pub struct Stream {
--- a/crates/daemon/src/workflows/front.rs
+++ b/crates/daemon/src/workflows/front.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
-    net::TcpListener,
     process::ExitCode,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -11,8 +10,8 @@
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer, block_on};
-use futures_lite::{AsyncReadExt, FutureExt, stream};
+use async_io::{Timer, block_on};
+use futures_lite::{AsyncReadExt, FutureExt, stream::once};
 use http_types::{Method as HttpMethod, Request, Response, StatusCode, headers, mime};
 use oliveshift_core::{Call, Method, Reply as CoreReply, Target};
 use oliveshift_wire::{
@@ -21,13 +20,16 @@
 };
 use oliveshift_workflow::{
     api::{self, Reply},
-    records::{Bundle, RunId, RunRecord, RunState},
+    records::{Bundle, RunId, RunState, Whole},
     service::{Answer, Ask, AskId, Input, MAX_BUNDLE, Output, Service},
 };
 use serde::Serialize;
 
 use super::{config::Config, objects::Objects};
-use crate::{client::Client, stream::Stream};
+use crate::{
+    client::Client,
+    stream::{self, Stream},
+};
 
 /// How often the state machine hears that time has passed.
 const TICK: Duration = Duration::from_millis(100);
@@ -39,8 +41,6 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(20);
 /// The most partners at a time.
 const MOST_PARTNERS: usize = 256;
-/// How long to wait after an address could not be bound or accepted from.
-const RETRY: Duration = Duration::from_millis(200);
 
 struct Front {
     executor: LocalExecutor<'static>,
@@ -182,30 +182,19 @@
     }
 
     async fn listen(self: Rc<Self>) {
-        let listener = loop {
-            match Async::<TcpListener>::bind(self.config.listen) {
-                Ok(listener) => break listener,
-                Err(e) => log::error!("{} can not be listened on: {e}", self.config.listen),
-            }
-            Timer::after(RETRY).await;
-        };
+        let listener = stream::bind(self.config.listen).await;
         loop {
-            match listener.accept().await {
-                Ok((tcp, _)) if self.partners.get() < MOST_PARTNERS => {
-                    self.partners.set(self.partners.get() + 1);
-                    let front = self.clone();
-                    let serve = async move {
-                        front.serve(Stream::new(tcp)).await;
-                        front.partners.set(front.partners.get() - 1);
-                    };
-                    self.executor.spawn(serve).detach();
-                }
-                Ok(_) => {}
-                Err(e) => {
-                    log::error!("connections can not be accepted: {e}");
-                    Timer::after(RETRY).await;
-                }
+            let tcp = stream::accept(&listener).await;
+            if self.partners.get() >= MOST_PARTNERS {
+                continue;
             }
+            self.partners.set(self.partners.get() + 1);
+            let front = self.clone();
+            let serve = async move {
+                front.serve(Stream::new(tcp)).await;
+                front.partners.set(front.partners.get() - 1);
+            };
+            self.executor.spawn(serve).detach();
         }
     }
 
@@ -371,7 +360,7 @@
         if body.len() > MAX_BUNDLE {
             return Err(format!("larger than {MAX_BUNDLE} bytes"));
         }
-        let body = stream::once(Ok::<_, std::io::Error>(body));
+        let body = once(Ok::<_, std::io::Error>(body));
         let mut parts = multer::Multipart::new(body, boundary);
         let mut bundle = Bundle {
             main: String::new(),
@@ -428,8 +417,8 @@
     humantime::format_rfc3339_seconds(UNIX_EPOCH + Duration::from_secs(day_s)).to_string()
 }
 
-fn run_log(id: RunId, log: oliveshift_workflow::service::RunLog) -> wes::RunLog {
-    let record: &RunRecord = &log.record;
+fn run_log(id: RunId, log: Whole) -> wes::RunLog {
+    let record = &log.record;
     let reason = record.failed().map(|f| match f.step.as_str() {
         "" => f.reason,
         step => format!("{step}: {}", f.reason),
