--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -281,13 +281,7 @@
                 return close.into_iter().map(Output::Close).collect();
             }
             Input::Arrived(id, beginning) => {
-                let class = Class::of_beginning(&beginning);
-                #[cfg(feature = "sabotage")]
-                let class = match self.sabotage {
-                    Some(Sabotage::InOrder) => Class::User,
-                    _ => class,
-                };
-                if class != Class::Report {
+                if self.class(Class::of_beginning(&beginning)) != Class::Report {
                     return vec![Output::Serve(id)];
                 }
                 self.intake.arrived(self.now, id);
@@ -303,12 +297,7 @@
             }
             Input::Request(request) => {
                 self.sockets.asked(self.now, request.socket, request.conn);
-                let class = Class::of(&request);
-                #[cfg(feature = "sabotage")]
-                let class = match self.sabotage {
-                    Some(Sabotage::InOrder) => Class::User,
-                    _ => class,
-                };
+                let class = self.class(Class::of(&request));
                 self.intake.take(self.now, class, request);
                 return Vec::new();
             }
@@ -357,6 +346,16 @@
         self.leaves()
     }
 
+    /// The class that counts, which is not the request's own only if it is
+    /// broken on purpose.
+    fn class(&self, class: Class) -> Class {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(Sabotage::InOrder) {
+            return Class::User;
+        }
+        class
+    }
+
     fn pass(&mut self, now: Now) {
         self.now = self.now.max(now.steady);
         self.day = now.day;
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -185,7 +185,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::sockets::SocketId;
 
     fn request(conn: u64, method: Method, path: &str) -> Request {
         Request {
