workflow: what is derived is not kept, and tests share their stand-in's call

Found in a second reading: RunLog was a copy of Whole, the version of a run being created was never read, whether its write is under way was looked up among all calls at each input, and the conditions of a run's writes were built twice. The tests and the measure had the call of the state service's stand-in four times, the example twice; those of the command line shared a function by copy.

--- a/crates/daemon/tests/cwl.rs
+++ b/crates/daemon/tests/cwl.rs
@@ -1,25 +1,8 @@
 //! `oliveshift cwl` as people use it, on the examples that are shipped.
 
-use std::process::Command;
+mod support;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_oliveshift");
-const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl");
-
-/// Exit code, output and error.
-fn cwl(args: &[&str]) -> (Option<i32>, String, String) {
-    let output = Command::new(PROGRAM)
-        .arg("cwl")
-        .args(args)
-        .current_dir(EXAMPLES)
-        .output()
-        .expect("the program runs");
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    (
-        output.status.code(),
-        text(&output.stdout),
-        text(&output.stderr),
-    )
-}
+use support::cwl;
 
 #[test]
 fn a_newcomer_checks_and_plans_the_examples() {
--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -29,8 +29,9 @@
 };
 use serde_json::{Value, json};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_oliveshift");
-const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl");
+mod support;
+
+use support::{EXAMPLES, PROGRAM, cwl};
 
 /// How often each class was accepted as a new job.
 type Accepted = Arc<Mutex<BTreeMap<String, usize>>>;
@@ -607,22 +608,6 @@
     );
 }
 
-/// Exit code, output and error of `oliveshift cwl`.
-fn cwl(args: &[&str]) -> (Option<i32>, String, String) {
-    let output = Command::new(PROGRAM)
-        .arg("cwl")
-        .args(args)
-        .current_dir(EXAMPLES)
-        .output()
-        .expect("the program runs");
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    (
-        output.status.code(),
-        text(&output.stdout),
-        text(&output.stderr),
-    )
-}
-
 #[test]
 fn people_run_documents() {
     let outside = outside("people", Some("publish-batch"));
--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -9,46 +9,23 @@
 };
 
 use hdrhistogram::Histogram;
-use oliveshift_core::{Call, Method, Target};
 use oliveshift_cwl::load;
-use oliveshift_testkit::{Done, State, StateLimits, tools};
+use oliveshift_testkit::{State, StateLimits};
 use oliveshift_wire::{JobId, job::JobPhase};
 use oliveshift_workflow::{
     active::{Active, JobReply},
-    api::{self, Reply},
-    job::{Defaults, TaskResult},
+    api,
     plan::plan,
-    records::{Bundle, RunId, RunRecord, RunState, Whole},
-    service::{Answer, Ask, Input, Output, Service, Settings, StoreCall, StoreReply},
+    records::{RunId, RunRecord, RunState, Whole},
+    service::{Answer, Ask, Input, Output, Service, Settings, StoreCall},
 };
 
-const S: Duration = Duration::from_secs(1);
+#[path = "../tests/support/mod.rs"]
+mod support;
 
-fn example(name: &str) -> Bundle {
-    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl/");
-    let read = |path: &str| std::fs::read_to_string(format!("{dir}{path}")).expect("shipped");
-    let mut files = BTreeMap::new();
-    files.insert(format!("{name}.cwl"), read(&format!("{name}.cwl")));
-    for tool in [
-        "trace-repair",
-        "noise-survey",
-        "phase-picking",
-        "catalog-merge",
-    ] {
-        let path = format!("tools/{tool}.cwl");
-        files.insert(path.clone(), read(&path));
-    }
-    let inputs = load::values("inputs", &read(&format!("{name}.inputs.yaml")));
-    Bundle {
-        main: format!("{name}.cwl"),
-        files,
-        inputs: inputs.expect("good").to_value(),
-        defaults: Defaults {
-            team: "partners".into(),
-            class: "cwl".into(),
-        },
-    }
-}
+use support::{example, leaves, stored};
+
+const S: Duration = Duration::from_secs(1);
 
 /// Resident memory of this process, in KiB.
 fn resident() -> u64 {
@@ -165,28 +142,8 @@
                         if let StoreCall::Txn(txn) = &ask {
                             writes += txn.changes.len();
                         }
-                        let request = api::store_request(&ask);
-                        let done = state.execute(
-                            now,
-                            &Call {
-                                id: call,
-                                to: Target::State,
-                                method: if request.method == "GET" {
-                                    Method::Get
-                                } else {
-                                    Method::Post
-                                },
-                                path: request.path,
-                                body: request.body,
-                                timeout: S,
-                            },
-                        );
-                        let reply = match done {
-                            Done::Answer(status, body) => {
-                                api::store_reply(&ask, Reply::Answer(status, body, None))
-                            }
-                            Done::Wait { .. } => StoreReply::Lost,
-                        };
+                        let reply = stored(&mut state, now, &ask);
+                        let reply = api::store_reply(&ask, reply);
                         inputs.push(Input::Store(call, reply));
                     }
                     Output::Submit(call, spec) => {
@@ -208,15 +165,7 @@
                     }
                     Output::Results(call, id, tasks) => {
                         let class = &jobs[&id].0;
-                        let left = tools::leaves(class).iter();
-                        let left =
-                            left.map(|n| ((*n).to_owned(), false, 1, format!("store://{id}/{n}")));
-                        let result = TaskResult {
-                            code: 0,
-                            left: left.collect(),
-                            texts: BTreeMap::new(),
-                        };
-                        let results = vec![result; tasks as usize];
+                        let results = (0..tasks).map(|i| leaves(class, &id, i, 0)).collect();
                         inputs.push(Input::Results(call, Some(results)));
                     }
                     Output::Text(call, _) => inputs.push(Input::Text(call, None)),
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -18,9 +18,11 @@
 };
 
 use crate::{
-    flow::{Failure, JobKey, Run, Work},
+    flow::{JobKey, Run, Work},
     job::{Defaults, TaskResult, spec},
-    records::{JobRecord, RunId, RunRecord, RunState, Whole, piece_key, pieces, put, run_key},
+    records::{
+        JobRecord, RunId, RunRecord, RunState, Whole, piece_key, pieces, put, put_text, run_key,
+    },
 };
 
 /// How often a job is asked after.
@@ -283,7 +285,7 @@
                     record.outputs = pieces.len() as u32;
                     for (i, piece) in pieces.into_iter().enumerate() {
                         let key = piece_key('t', self.id, first + i);
-                        changes.push(crate::records::put_text(key, piece));
+                        changes.push(put_text(key, piece));
                     }
                     record.state = RunState::Complete;
                 } else if self.cancel {
@@ -558,9 +560,4 @@
     pub fn text(&mut self, location: &str, text: Option<String>) {
         self.flow.text(location, text);
     }
-
-    /// Why it fails or has failed.
-    pub fn failure(&self) -> Option<Failure> {
-        self.record.failed()
-    }
 }
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -157,7 +157,7 @@
 }
 
 /// A run as it is written.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Whole {
     /// Its state.
     pub record: RunRecord,
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -127,8 +127,8 @@
     Bad(String),
     /// How a run is.
     Is(Box<RunRecord>),
-    /// All about a run.
-    Log(Box<RunLog>),
+    /// All about a run, as it is written.
+    Log(Box<Whole>),
     /// Runs and their records, and where to go on; none: these are all.
     Runs(Vec<(RunId, RunRecord)>, Option<String>),
     /// The wish to cancel it is written down.
@@ -139,19 +139,6 @@
     ComeBack(Duration),
 }
 
-/// All about a run, as it is written.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RunLog {
-    /// Its state.
-    pub record: RunRecord,
-    /// What is run.
-    pub bundle: Bundle,
-    /// What came out; null until it is complete.
-    pub outputs: serde_json::Value,
-    /// The jobs of its steps.
-    pub jobs: Vec<JobRecord>,
-}
-
 /// What an instance is told.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -324,8 +311,9 @@
 #[derive(Debug)]
 struct Creating {
     asker: AskId,
+    /// The first to go last.
     txns: Vec<Txn>,
-    version: u64,
+    busy: bool,
 }
 
 /// An instance.
@@ -563,7 +551,7 @@
         let creating = Creating {
             asker,
             txns,
-            version: 0,
+            busy: false,
         };
         self.creating.insert(id, creating);
     }
@@ -592,6 +580,13 @@
         true
     }
 
+    /// The conditions that a run is as we know it, and still ours.
+    fn unchanged(&self, id: RunId, version: u64) -> Option<Vec<Cond>> {
+        let key = run_key('r', id);
+        let mut conds = vec![Cond { key, version }];
+        self.fence(id.range, &mut conds).then_some(conds)
+    }
+
     fn stored(&mut self, now: Duration, day_s: u64, call: CallId, reply: StoreReply) {
         let Some(pending) = self.calls.remove(&call) else {
             return;
@@ -761,12 +756,7 @@
             }
             Read::Again | Read::Broken(..) => Answer::ComeBack(COME_BACK),
             Read::Nothing => Answer::Unknown,
-            Read::All(all) => Answer::Log(Box::new(RunLog {
-                record: all.record,
-                bundle: all.bundle,
-                outputs: all.outputs,
-                jobs: all.jobs,
-            })),
+            Read::All(all) => Answer::Log(all),
         };
         self.out.push(Output::Answer(asker, answer));
     }
@@ -814,9 +804,9 @@
             return;
         };
         let asker = creating.asker;
+        creating.busy = false;
         match reply {
-            StoreReply::Done(revision) => {
-                creating.version = revision;
+            StoreReply::Done(_) => {
                 creating.txns.pop();
                 if creating.txns.is_empty() {
                     self.creating.remove(&id);
@@ -892,24 +882,20 @@
     }
 
     fn create_on(&mut self, now: Duration) {
-        let busy: BTreeSet<RunId> = self
-            .calls
-            .values()
-            .filter_map(|p| match p {
-                Pending::Create(id) => Some(*id),
-                _ => None,
-            })
-            .collect();
         let ids: Vec<_> = self.creating.keys().copied().collect();
         for id in ids {
-            let Some(txn) = self.creating.get(&id).and_then(|c| c.txns.last()) else {
+            let Some(creating) = self.creating.get_mut(&id) else {
+                continue;
+            };
+            let Some(txn) = creating.txns.last() else {
                 continue;
             };
             let room =
                 self.store.left(now) > 0 && self.writes.left(now) >= txn.changes.len().min(8);
-            if busy.contains(&id) || !room {
+            if creating.busy || !room {
                 continue;
             }
+            creating.busy = true;
             let mut txn = txn.clone();
             if !self.fence(id.range, &mut txn.conds) {
                 if let Some(creating) = self.creating.remove(&id) {
@@ -948,12 +934,6 @@
     }
 
     fn run_on(&mut self, now: Duration, day_s: u64, id: RunId) {
-        let fenced = |version: u64| {
-            vec![Cond {
-                key: run_key('r', id),
-                version,
-            }]
-        };
         match self.runs.get_mut(&id) {
             Some(Held::ToLoad(at)) if now >= *at && self.store.left(now) > 0 => {
                 self.runs.insert(id, Held::Loading);
@@ -967,8 +947,8 @@
                 *busy = true;
                 record.ended_s = Some(day_s);
                 let changes = vec![put(run_key('r', id), record)];
-                let mut conds = fenced(*version);
-                if self.fence(id.range, &mut conds) {
+                let version = *version;
+                if let Some(conds) = self.unchanged(id, version) {
                     let call = StoreCall::Txn(Txn { conds, changes });
                     self.store(Pending::Write(id, Vec::new()), call);
                 }
@@ -996,11 +976,7 @@
         }
         match act {
             Act::Write(changes) => {
-                let mut conds = vec![Cond {
-                    key: run_key('r', id),
-                    version,
-                }];
-                if self.fence(id.range, &mut conds) {
+                if let Some(conds) = self.unchanged(id, version) {
                     // The run's record comes last: until then nothing counts.
                     let mut txns: Vec<Txn> = changes
                         .chunks(self.at_once())
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -6,8 +6,7 @@
     time::Duration,
 };
 
-use oliveshift_core::{Call, Method, Target};
-use oliveshift_testkit::{Done, State, StateLimits};
+use oliveshift_testkit::{State, StateLimits};
 use oliveshift_wire::{
     JobId, decode, encode,
     job::{JobPhase, JobSpec, JobStatus},
@@ -22,7 +21,7 @@
 
 mod support;
 
-use support::{example, leaves};
+use support::{example, leaves, stored};
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
@@ -327,29 +326,10 @@
         let reply = if self.outage() {
             Reply::Answer(503, Vec::new(), None)
         } else {
-            let request = api::store_request(ask);
             if let StoreCall::Txn(txn) = ask {
                 self.writes += txn.changes.len();
             }
-            let done = self.state.execute(
-                self.now,
-                &Call {
-                    id: call,
-                    to: Target::State,
-                    method: if request.method == "GET" {
-                        Method::Get
-                    } else {
-                        Method::Post
-                    },
-                    path: request.path,
-                    body: request.body,
-                    timeout: S,
-                },
-            );
-            match done {
-                Done::Answer(status, body) => Reply::Answer(status, body, None),
-                Done::Wait { .. } => Reply::Lost,
-            }
+            stored(&mut self.state, self.now, ask)
         };
         if self.rng.f64() < self.trouble.lost {
             return;
@@ -554,16 +534,7 @@
                 prefix: prefix.to_owned(),
                 after,
             };
-            let request = api::store_request(&ask);
-            let call = Call {
-                id: 0,
-                to: Target::State,
-                method: Method::Get,
-                path: request.path,
-                body: Vec::new(),
-                timeout: S,
-            };
-            let Done::Answer(_, body) = self.state.execute(self.now, &call) else {
+            let Reply::Answer(_, body, _) = stored(&mut self.state, self.now, &ask) else {
                 return all;
             };
             let page: oliveshift_wire::state::Page = decode(&body).expect("a page");
--- a/crates/workflow/tests/sides.rs
+++ b/crates/workflow/tests/sides.rs
@@ -3,9 +3,8 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use oliveshift_core::{Call, Method, Target};
 use oliveshift_testkit::{
-    Done, Fault, Guest, GuestAsk, Outcome, Size, State, StateLimits, Wish, World, draw,
+    Fault, Guest, GuestAsk, Outcome, Size, State, StateLimits, Wish, World, draw,
 };
 use oliveshift_wire::{
     JobId, decode,
@@ -15,12 +14,12 @@
     active::JobReply,
     api::{self, Reply},
     records::{Bundle, RunId, RunState},
-    service::{Answer, Ask, Input, Output, Service, Settings, StoreReply},
+    service::{Answer, Ask, Input, Output, Service, Settings},
 };
 
 mod support;
 
-use support::{example, leaves};
+use support::{example, leaves, stored};
 
 const S: Duration = Duration::from_secs(1);
 /// When pipelines are handed in.
@@ -250,28 +249,8 @@
             let soon = now + Duration::from_millis(8);
             match output {
                 Output::Store(call, ask) => {
-                    let request = api::store_request(&ask);
-                    let done = self.state.execute(
-                        now,
-                        &Call {
-                            id: call,
-                            to: Target::State,
-                            method: if request.method == "GET" {
-                                Method::Get
-                            } else {
-                                Method::Post
-                            },
-                            path: request.path,
-                            body: request.body,
-                            timeout: S,
-                        },
-                    );
-                    let reply = match done {
-                        Done::Answer(status, body) => {
-                            api::store_reply(&ask, Reply::Answer(status, body, None))
-                        }
-                        Done::Wait { .. } => StoreReply::Lost,
-                    };
+                    let reply = stored(&mut self.state, now, &ask);
+                    let reply = api::store_reply(&ask, reply);
                     self.waiting.push((soon, Input::Store(call, reply)));
                 }
                 Output::Submit(call, spec) => {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -1,13 +1,37 @@
 //! The examples, and what their tools leave behind.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
+use oliveshift_core::{Call, Method, Target};
+use oliveshift_testkit::{Done, State};
 use oliveshift_wire::JobId;
 use oliveshift_workflow::{
+    api::{self, Reply},
     job::{Defaults, TaskResult},
     records::Bundle,
+    service::StoreCall,
 };
 
+/// What the stand-in for the state service answers.
+pub fn stored(state: &mut State, now: Duration, ask: &StoreCall) -> Reply {
+    let request = api::store_request(ask);
+    let call = Call {
+        id: 0,
+        to: Target::State,
+        method: match request.method {
+            "GET" => Method::Get,
+            _ => Method::Post,
+        },
+        path: request.path,
+        body: request.body,
+        timeout: Duration::from_secs(1),
+    };
+    match state.execute(now, &call) {
+        Done::Answer(status, body) => Reply::Answer(status, body, None),
+        Done::Wait { .. } => Reply::Lost,
+    }
+}
+
 /// An example that is shipped.
 pub fn example(name: &str) -> Bundle {
     let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl/");
