--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -24,6 +24,7 @@
     due::Due,
     fleet::Fleet,
     futile::Futile,
+    intake::{Class, Intake},
     leader::Leader,
     machine::Machine,
     peers::{Link, PeerState},
@@ -86,6 +87,8 @@
     /// All that comes in shares one allowance, and what is beyond it is turned
     /// away.
     NoShares,
+    /// Requests are answered as they came, whoever asks.
+    InOrder,
 }
 
 /// A request that the controller made and has no reply to yet.
@@ -138,6 +141,9 @@
     pub(crate) program: Level,
     pub(crate) upgrade: Upgrade,
     pub(crate) sockets: Sockets,
+    intake: Intake,
+    /// Something happened since the last turn.
+    unsettled: bool,
     pub(crate) tuning: Tuning,
     pub(crate) incarnation: u64,
     pub(crate) rng: fastrand::Rng,
@@ -194,6 +200,8 @@
             store: Store::new(&settings),
             fleet: Fleet::new(&settings),
             sockets: Sockets::new(&settings),
+            intake: Intake::default(),
+            unsettled: false,
             lowered: settings.params.state.lowered(),
             program: Level::OWN,
             upgrade: Upgrade::default(),
@@ -238,10 +246,19 @@
         }
     }
 
-    /// Takes one input at a time and returns what is to be done.
+    /// Takes one input and acts on it at once, as whoever is on time does.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
-        self.now = self.now.max(now.steady);
-        self.day = now.day;
+        let mut out = self.take(now, input);
+        while self.is_due() {
+            out.extend(self.turn(now));
+        }
+        out
+    }
+
+    /// Takes one input. What it makes possible is done at the next turn, which
+    /// may come after several inputs: whoever is behind saves time that way.
+    pub fn take(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.pass(now);
         match input {
             // Connections change nothing of what there is to decide.
             #[cfg(feature = "sabotage")]
@@ -263,11 +280,56 @@
                 self.sockets.kept(kept);
                 return Vec::new();
             }
+            Input::Request(request) => {
+                self.sockets.asked(self.now, request.socket, request.conn);
+                let class = Class::of(&request);
+                #[cfg(feature = "sabotage")]
+                let class = match self.sabotage {
+                    Some(Sabotage::InOrder) => Class::User,
+                    _ => class,
+                };
+                self.intake.take(self.now, class, request);
+                return Vec::new();
+            }
             Input::Tick => self.tick(),
-            Input::Request(request) => self.request(request),
             Input::Reply(call, reply) => self.reply(call, reply),
         }
+        self.unsettled = true;
+        self.leaves()
+    }
+
+    /// Whether something that came in waits for a turn.
+    pub fn is_due(&self) -> bool {
+        self.unsettled || !self.intake.is_empty()
+    }
+
+    /// Answers requests that wait, the most urgent ones if they are many, and
+    /// does what all that came in has made possible.
+    pub fn turn(&mut self, now: Now) -> Vec<Output> {
+        self.pass(now);
+        let turn = self.intake.turn(self.now);
+        for request in turn.late_reports {
+            self.sockets.ended(request.socket);
+            self.close(vec![Close::Came(request.socket)]);
+        }
+        for request in turn.late_users {
+            self.come_back(request.conn, "too much to do");
+        }
+        for request in turn.requests {
+            self.request(request);
+        }
+        self.unsettled = false;
         self.settle();
+        self.leaves()
+    }
+
+    fn pass(&mut self, now: Now) {
+        self.now = self.now.max(now.steady);
+        self.day = now.day;
+    }
+
+    /// What leaves now.
+    fn leaves(&mut self) -> Vec<Output> {
         let out = std::mem::take(&mut self.out);
         for output in &out {
             if let Output::Answer(answer) = output {
@@ -309,13 +371,12 @@
     fn request(&mut self, request: Request) {
         let Request {
             conn,
-            socket,
             side,
             method,
             path,
             body,
+            ..
         } = request;
-        self.sockets.asked(self.now, socket, conn);
         let mut parts = path.trim_start_matches('/').split('/');
         let route = (parts.next(), parts.next(), parts.next(), parts.next());
         match (side, route, method) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,7 +1,8 @@
 //! The decisions of oliveshift, as a state machine without I/O.
 //!
-//! [`Controller::handle`] takes the time and one [`Input`] and returns what to
-//! send and answer. Time and the seed for random numbers come in from outside,
+//! [`Controller::take`] takes the time and one [`Input`], [`Controller::turn`]
+//! lets the controller act on what came in; both return what to send and
+//! answer. Time and the seed for random numbers come in from outside,
 //! so the same inputs always give the same outputs.
 
 mod admission;
@@ -14,6 +15,7 @@
 mod fleet;
 mod futile;
 mod handout;
+mod intake;
 mod leader;
 mod lists;
 mod machine;
--- a/crates/core/src/sockets.rs
+++ b/crates/core/src/sockets.rs
@@ -22,7 +22,10 @@
 
 use oliveshift_wire::settings::Settings;
 
-use crate::call::{ConnId, Side, Target};
+use crate::{
+    call::{ConnId, Side, Target},
+    intake::REPORT_PATIENCE,
+};
 
 /// Names a connection that came in; one that came later has a larger name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -90,8 +93,6 @@
 const OWN: usize = 12;
 /// For how long a connection may say nothing.
 const PATIENCE: Duration = Duration::from_secs(25);
-/// A worker gives a report up after this.
-const WORKER_PATIENCE: Duration = Duration::from_secs(4);
 /// The longest that somebody waits for an answer; after that nobody reads it.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// For how many seconds' worth of requests to state service and cloud there
@@ -204,7 +205,7 @@
     pub fn new(settings: &Settings) -> Self {
         Self {
             shares: Shares::new(settings),
-            reports_within: settings.report_period().mul_f64(1.5) + WORKER_PATIENCE,
+            reports_within: settings.report_period().mul_f64(1.5) + REPORT_PATIENCE,
             sockets: HashMap::new(),
             users: Silent::new(),
             workers: Silent::new(),
@@ -456,7 +457,7 @@
         let &(since, id) = self.workers.first()?;
         let busy = self.sockets.get(&id).is_some_and(|s| s.busy);
         let limit = if busy {
-            WORKER_PATIENCE
+            REPORT_PATIENCE
         } else {
             self.reports_within
         };
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -9,9 +9,10 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer, block_on};
+use futures_lite::future::yield_now;
 use oliveshift_core::{
     Answer, Call, Close, ConnId, Controller, Input, Method, Now, Output, Reply, Request, Side,
     SocketId, Target,
@@ -38,6 +39,8 @@
     /// What serves each connection that came in; dropped, it closes.
     serving: RefCell<HashMap<SocketId, Task<()>>>,
     next_socket: Cell<u64>,
+    /// Wakes what gives the state machine its turns.
+    due: Sender<()>,
     /// What the state machine knows of the connections that we keep.
     kept: Cell<[usize; 3]>,
     ended: Cell<bool>,
@@ -46,6 +49,15 @@
     cloud: SocketAddr,
 }
 
+/// Forgets that somebody waits for an answer.
+struct Forget<'a>(&'a Runtime, ConnId);
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.borrow_mut().remove(&self.1);
+    }
+}
+
 /// Runs a controller until the process is killed, or until it finds that it
 /// must not run.
 pub fn run(settings: Settings) -> ExitCode {
@@ -53,6 +65,7 @@
     let services = &settings.services;
     let peers = settings.peers.iter();
     let node = settings.node.clone();
+    let (due, is_due) = async_channel::bounded(1);
     let runtime = Rc::new(Runtime {
         executor: LocalExecutor::new(),
         client: Client::default(),
@@ -61,6 +74,7 @@
         next_conn: Cell::new(0),
         serving: RefCell::default(),
         next_socket: Cell::new(1),
+        due,
         kept: Cell::new([0; 3]),
         ended: Cell::new(false),
         peers: peers.map(|p| (p.node.clone(), p.addr.into())).collect(),
@@ -73,6 +87,10 @@
     block_on(tasks.executor.run(async move {
         runtime.spawn_listener(public, Side::Public);
         runtime.spawn_listener(internal, Side::Internal);
+        runtime
+            .executor
+            .spawn(runtime.clone().turns(is_due))
+            .detach();
         let mut ticks = 0u32;
         loop {
             runtime.input(Input::Tick);
@@ -104,14 +122,46 @@
         }
     }
 
-    /// Gives the state machine an input and does what it says.
+    /// Gives the state machine an input.
     fn input(self: &Rc<Self>, input: Input) {
+        let now = self.now();
+        let mut controller = self.controller.borrow_mut();
         let kept = self.client.kept();
         if self.kept.replace(kept) != kept {
-            let input = Input::Kept(kept);
-            self.controller.borrow_mut().handle(self.now(), input);
+            controller.take(now, Input::Kept(kept));
         }
-        let outputs = self.controller.borrow_mut().handle(self.now(), input);
+        let outputs = controller.take(now, input);
+        if controller.is_due() {
+            // Full: it has been woken already.
+            let _ = self.due.try_send(());
+        }
+        drop(controller);
+        self.put_out(outputs);
+    }
+
+    /// Gives the state machine its turns: after all that is ready to come in,
+    /// so that it has the choice what goes first when it is behind.
+    async fn turns(self: Rc<Self>, is_due: Receiver<()>) {
+        while is_due.recv().await.is_ok() {
+            while self.turn() {
+                yield_now().await;
+            }
+        }
+    }
+
+    /// One turn; true if another one is due.
+    fn turn(self: &Rc<Self>) -> bool {
+        let now = self.now();
+        let mut controller = self.controller.borrow_mut();
+        let outputs = controller.turn(now);
+        let again = controller.is_due();
+        drop(controller);
+        self.put_out(outputs);
+        again
+    }
+
+    /// Does what the state machine says.
+    fn put_out(self: &Rc<Self>, outputs: Vec<Output>) {
         for output in outputs {
             match output {
                 Output::Answer(answer) => {
@@ -163,6 +213,8 @@
         self.next_conn.set(conn + 1);
         let (send, receive) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(conn, send);
+        // Whoever serves a connection that is closed ends right here.
+        let _forget = Forget(self, conn);
         self.input(Input::Request(Request {
             conn,
             socket,
@@ -171,9 +223,7 @@
             path,
             body,
         }));
-        let answer = receive.recv().await.ok();
-        self.waiting.borrow_mut().remove(&conn);
-        answer
+        receive.recv().await.ok()
     }
 
     fn spawn_listener(self: &Rc<Self>, addr: SocketAddrV4, side: Side) {
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -122,6 +122,18 @@
         /// Until when.
         until: Duration,
     },
+    /// A controller has little processor time: each request that it answers
+    /// takes so long.
+    Slow {
+        /// Which.
+        node: usize,
+        /// How long.
+        each: Duration,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// A controller's answers to workers take so much longer, and what it sends
     /// them directly overtakes them.
     LateAnswers {
@@ -169,6 +181,7 @@
             | Self::CutWorkers { from, until, .. }
             | Self::Frozen { from, until, .. }
             | Self::Behind { from, until, .. }
+            | Self::Slow { from, until, .. }
             | Self::LateAnswers { from, until, .. }
             | Self::Silent { from, until, .. }
             | Self::LostAnswers { from, until }
--- a/crates/testkit/src/net.rs
+++ b/crates/testkit/src/net.rs
@@ -21,6 +21,9 @@
     pub users_cut: usize,
     /// The same for the load balancer's probes, which wait a second.
     pub probes_cut: usize,
+    /// Users who had no answer within the two seconds that they wait, and
+    /// probes answered after their second.
+    pub late: (usize, usize),
     /// Requests of users and probes.
     pub asked: usize,
 }
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -502,3 +502,29 @@
         );
     }
 }
+
+/// All controllers have too little processor time for what comes in. Workers
+/// give up and come again elsewhere, and users waited behind them.
+fn overload(sabotage: Option<Sabotage>) -> Outcome {
+    let slow = |node| Fault::Slow {
+        node,
+        each: Duration::from_millis(30),
+        from: S * 50,
+        until: S * 90,
+    };
+    let faults = (0..3).map(slow).collect();
+    World::sized(Size::GROWN, 45, S * 100, faults, sabotage).run(S * 400)
+}
+
+#[test]
+fn users_are_served_by_whoever_is_behind() {
+    let outcome = overload(None);
+    assert_eq!((outcome.broken, outcome.open), (vec![], vec![]));
+    assert_eq!(outcome.sockets.late, (0, 0), "{:?}", outcome.sockets);
+}
+
+#[test]
+fn answering_in_order_is_caught() {
+    let (users, probes) = overload(Some(Sabotage::InOrder)).sockets.late;
+    assert!(users > 80 && probes > 15, "{users} {probes}");
+}
