--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -39,8 +39,13 @@
     /// How far the list lags.
     pub lag: Duration,
     rng: fastrand::Rng,
+    /// Nothing is drawn: all machines boot alike.
+    pub steady: bool,
 }
 
+/// How long a machine boots if nothing is drawn.
+const BOOT: Duration = Duration::from_secs(12);
+
 impl Cloud {
     /// A cloud with one small and one large type in some zones.
     pub fn new(zones: &[String], seed: u64) -> Self {
@@ -64,6 +69,7 @@
             capacity: 4,
             lag: Duration::from_secs(3),
             rng: fastrand::Rng::with_seed(seed),
+            steady: false,
         }
     }
 
@@ -141,6 +147,7 @@
         for _ in 0..count {
             let boot = Duration::from_millis(self.rng.u64(2000..25_000));
             let up = (self.rng.f64() > 0.1).then_some(now + boot);
+            let up = if self.steady { Some(now + BOOT) } else { up };
             names.push(self.add(now, &rent.kind, &rent.zone, rent.spot, up));
         }
         self.claims.insert(rent.request, names.clone());
@@ -149,7 +156,10 @@
 
     fn list(&mut self, now: Duration) -> MachineList {
         // Up to twice the lag, so that a list may be older than the last.
-        let lag = self.lag.mul_f64(self.rng.f64() * 2.0);
+        let lag = match self.steady {
+            true => self.lag,
+            false => self.lag.mul_f64(self.rng.f64() * 2.0),
+        };
         let at = now.saturating_sub(lag);
         let shown = |m: &&Rented| m.since <= at && m.gone.is_none_or(|gone| gone > at);
         let machines = self.machines.iter().filter(|(_, m)| shown(m));
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod cloud;
 pub mod faults;
+pub mod guest;
 pub mod model;
 pub mod net;
 pub mod rules;
@@ -15,6 +16,7 @@
 pub mod world;
 
 pub use faults::{Fault, draw, draw_behind, draw_roll, draw_slow};
+pub use guest::{Guest, GuestAsk, Wish};
 pub use rules::{Broken, Rules};
 pub use state::{Done, Limits as StateLimits, State};
 pub use world::{Load, Outcome, Size, World};
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -62,6 +62,8 @@
     pub broken: Vec<(Duration, Broken, String)>,
     /// Tasks started.
     pub started: u64,
+    /// Which, and when.
+    pub starts: Vec<(Duration, TaskId)>,
     on: BTreeMap<TaskId, BTreeMap<String, Site>>,
     accepted: BTreeSet<JobId>,
     told: BTreeMap<JobId, JobPhase>,
@@ -86,8 +88,9 @@
     }
 
     /// A task has its image on a machine.
-    pub fn starts(&mut self, now: Duration, task: &TaskId, machine: &str, site: &Site) {
+    pub fn start(&mut self, now: Duration, task: &TaskId, machine: &str, site: &Site) {
         self.started += 1;
+        self.starts.push((now, task.clone()));
         let Some(spec) = self.jobs.get(&task.job).cloned() else {
             return;
         };
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -241,7 +241,7 @@
                         self.images.push(spec.image.clone());
                     }
                     let service = spec.shape == Shape::Service;
-                    rules.starts(now, task, &self.name, &self.site);
+                    rules.start(now, task, &self.name, &self.site);
                     *stage = Stage::Running((!service).then_some(now + run));
                     if self.sick {
                         rules.leaves(task, &self.name);
--- /dev/null
+++ b/crates/workflow/tests/support/mod.rs
@@ -0,0 +1,65 @@
+//! The examples, and what their tools leave behind.
+
+use std::collections::BTreeMap;
+
+use oliveshift_wire::JobId;
+use oliveshift_workflow::{
+    job::{Defaults, TaskResult},
+    records::Bundle,
+};
+
+/// An example that is shipped.
+pub fn example(name: &str) -> Bundle {
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/examples/cwl/");
+    let mut files = BTreeMap::new();
+    let read = |path: &str| std::fs::read_to_string(format!("{dir}{path}")).expect("shipped");
+    files.insert(format!("{name}.cwl"), read(&format!("{name}.cwl")));
+    for tool in [
+        "trace-repair",
+        "noise-survey",
+        "phase-picking",
+        "catalog-merge",
+    ] {
+        let path = format!("tools/{tool}.cwl");
+        files.insert(path.clone(), read(&path));
+    }
+    let inputs = read(&format!("{name}.inputs.yaml"));
+    let inputs = oliveshift_cwl::load::values("inputs", &inputs).expect("good");
+    Bundle {
+        main: format!("{name}.cwl"),
+        files,
+        inputs: inputs.to_value(),
+        defaults: Defaults {
+            team: "partners".into(),
+            class: "cwl".into(),
+        },
+    }
+}
+
+/// What the tools of the examples leave behind.
+pub fn leaves(class: &str, job: &JobId, index: u32, code: i64) -> TaskResult {
+    let names: &[&str] = match class {
+        "tile-split" => &["sheet.tiles"],
+        "color-check" => &["report.json"],
+        "taxon-match" => &["names.csv", "matched.txt"],
+        "publish-batch" => &["records/1.json", "records/2.json"],
+        "trace-repair" => &["bdg.whole.mseed", "sby.whole.mseed", "mlg.whole.mseed"],
+        "noise-survey" => &["a.noise"],
+        "phase-picking" => &["a.picks"],
+        "catalog-merge" => &["event.xml"],
+        _ => &[],
+    };
+    let left = names.iter().map(|name| {
+        let location = format!("store://{job}/{index}/{name}");
+        ((*name).to_owned(), false, 10, location)
+    });
+    TaskResult {
+        code,
+        left: if code == 0 {
+            left.collect()
+        } else {
+            Vec::new()
+        },
+        texts: [("matched.txt".to_owned(), "3\n".to_owned())].into(),
+    }
+}
