cargo xtask widen: a site of the kit with more machines and quick restarts

Change: xtask::widen derives one outside the repository (capacity, machines up, work, teams' shares, machines that a trouble takes; restart time).

--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod plots;
 mod regress;
 mod served;
+mod widen;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -35,6 +36,9 @@
     /// What of a day's jobs the machines that it had could have served at best,
     /// by a debug log.
     Best(best::Options),
+    /// Derives a site with more machines, and with controllers that are back
+    /// sooner, from one of the kit's.
+    Widen(widen::Options),
 }
 
 /// The root of the repository, wherever the command is started in it.
@@ -55,6 +59,9 @@
         Command::Best(options) => best::run(&root, &options)
             .map(|()| true)
             .map_err(|e| e.to_string()),
+        Command::Widen(options) => widen::run(&root, &options)
+            .map(|()| true)
+            .map_err(|e| e.to_string()),
         Command::Served(options) => served::run(&root, &options).map_err(|e| e.to_string()),
     };
     match result {
