--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,7 +8,7 @@
 };
 
 use oliveshift_policy::{
-    fleet::{Coming, Offer, Want, count_on, suits, to_rent},
+    fleet::{Offer, Stock, Want, suits, to_rent},
     score::fits,
 };
 use oliveshift_wire::{
@@ -227,16 +227,11 @@
     }
 
     /// What is rented and not up yet.
-    fn coming(&self) -> Vec<Coming> {
+    fn coming(&self) -> Vec<Offer> {
         let mut coming = Vec::new();
         let mut add = |offer: Offer, count: u32| {
-            if let Some(kind) = self.types.get(&offer.kind) {
-                for _ in 0..count {
-                    coming.push(Coming {
-                        offer: offer.clone(),
-                        free: kind.amounts(),
-                    });
-                }
+            if self.types.contains_key(&offer.kind) {
+                coming.extend((0..count).map(|_| offer.clone()));
             }
         };
         for (name, machine) in &self.fleet.list {
@@ -345,9 +340,11 @@
         if reserve.is_empty() {
             return true;
         }
-        let others = self.usable_rooms().filter(|r| !without.contains(&r.name));
-        let mut rooms: Vec<_> = others.map(Room::coming).collect();
-        reserve.iter().all(|want| count_on(want, &mut rooms) == 0)
+        let mut stock = Stock::default();
+        for room in self.usable_rooms().filter(|r| !without.contains(&r.name)) {
+            room.add_to(&mut stock, false);
+        }
+        reserve.iter().all(|want| stock.count_on(want) == 0)
     }
 
     /// How long a machine may stand idle: an ordinary one costs more.
@@ -369,6 +366,25 @@
         self.types.get(kind).map_or(60.0, |k| k.boot_s)
     }
 
+    /// All room that work may be counted on.
+    fn stock(&self, rented: &[Offer], with_ending: bool) -> Stock {
+        let mut stock = Stock::default();
+        for room in self.usable_rooms() {
+            room.add_to(&mut stock, with_ending);
+        }
+        for offer in rented {
+            self.add_whole(&mut stock, offer);
+        }
+        stock
+    }
+
+    /// A machine that is not up yet.
+    fn add_whole(&self, stock: &mut Stock, offer: &Offer) {
+        if let Some(kind) = self.types.get(&offer.kind) {
+            stock.add(&offer.kind, &offer.zone, offer.spot, kind.amounts());
+        }
+    }
+
     /// Rents what the waiting work needs beyond what is coming.
     fn rent(&mut self) {
         let now = self.now;
@@ -389,9 +405,8 @@
             return;
         }
         self.fleet.rent_at = now + Duration::from_millis(500);
-        let usable = self.usable_rooms().map(Room::coming_with_ending);
         let rented = self.coming();
-        let mut coming: Vec<_> = usable.chain(rented.iter().cloned()).collect();
+        let mut stock = self.stock(&rented, true);
         let types: Vec<_> = self.types.values().cloned().collect();
         let closed = |offer: &Offer| self.fleet.closed.contains_key(offer);
         let mut loads: BTreeMap<&str, u32> = BTreeMap::new();
@@ -399,22 +414,22 @@
             *loads.entry(&machine.zone).or_default() += 1;
         }
         let load = |zone: &str| loads.get(zone).copied().unwrap_or(0);
-        let wants = self.fleet.wants.clone();
+        let wants = std::mem::take(&mut self.fleet.wants);
         let most = self.tuning.rent_burst;
-        let mut offers = to_rent(&wants, &mut coming, &types, closed, load, most);
-        let present = self.usable_rooms().map(Room::coming);
-        let mut coming: Vec<_> = present.chain(rented).collect();
-        coming.extend(offers.iter().filter_map(|offer| {
-            let free = self.types.get(&offer.kind)?.amounts();
-            let offer = offer.clone();
-            Some(Coming { offer, free })
-        }));
-        for want in &wants {
-            count_on(want, &mut coming);
-        }
-        let most = most.saturating_sub(offers.len());
+        let mut offers = to_rent(&wants, &mut stock, &types, closed, load, most);
         let reserve = self.reserve();
-        offers.extend(to_rent(&reserve, &mut coming, &types, closed, load, most));
+        if !reserve.is_empty() {
+            let mut stock = self.stock(&rented, false);
+            for offer in &offers {
+                self.add_whole(&mut stock, offer);
+            }
+            for want in &wants {
+                stock.count_on(want);
+            }
+            let most = most.saturating_sub(offers.len());
+            offers.extend(to_rent(&reserve, &mut stock, &types, closed, load, most));
+        }
+        self.fleet.wants = wants;
         let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
         for offer in offers {
             *counts.entry(offer).or_default() += 1;
--- a/crates/core/src/floors.rs
+++ b/crates/core/src/floors.rs
@@ -10,6 +10,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    rc::Rc,
     time::Duration,
 };
 
@@ -27,17 +28,17 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Flow {
     /// The team.
-    pub team: String,
+    pub team: Rc<str>,
     /// The class of jobs.
-    pub class: String,
+    pub class: Rc<str>,
 }
 
 impl Flow {
     /// The flow that a job belongs to.
     pub fn of(spec: &JobSpec) -> Self {
         Self {
-            team: spec.team.clone(),
-            class: spec.class.clone(),
+            team: spec.team.as_str().into(),
+            class: spec.class.as_str().into(),
         }
     }
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -99,8 +99,8 @@
 impl FlowShare {
     fn flow(&self) -> Flow {
         Flow {
-            team: self.team.clone(),
-            class: self.class.clone(),
+            team: self.team.as_str().into(),
+            class: self.class.as_str().into(),
         }
     }
 }
@@ -118,7 +118,7 @@
 
     fn flow(&self, flow: &Flow) -> Option<&FlowShare> {
         let mut flows = self.flows.iter();
-        flows.find(|f| f.team == flow.team && f.class == flow.class)
+        flows.find(|f| *f.team == *flow.team && *f.class == *flow.class)
     }
 
     /// All that can be let in under it, by all controllers, without what goes
@@ -359,7 +359,7 @@
             };
             let left = job.tasks.saturating_sub(job.done);
             let work = work_s(spec, left, fleet, seen.horizon_s);
-            let flow = Flow::of(spec);
+            let flow = job.flow.clone().unwrap_or_else(|| Flow::of(spec));
             let demand = seen.flows.entry(flow.clone()).or_insert_with(|| Demand {
                 open_s: 0.0,
                 drain: serving.rate(&flow),
@@ -504,8 +504,8 @@
         })
         .collect();
     let flows = names.iter().zip(&shares).map(|(flow, share)| FlowShare {
-        team: flow.team.clone(),
-        class: flow.class.clone(),
+        team: flow.team.to_string(),
+        class: flow.class.to_string(),
         share_s: *share,
         drain: seen.flows.get(*flow).map_or(0.0, |d| d.drain),
     });
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -19,6 +19,7 @@
 };
 use oliveshift_wire::{
     JobId, TaskId,
+    cloud::MachineType,
     job::{Amounts, JobSpec, Priority, Shape},
     state::{Cond, Txn},
 };
@@ -36,7 +37,8 @@
 
 /// The least time between two plans.
 const PLAN_GAP: Duration = Duration::from_millis(40);
-/// What each machine adds to it: a plan costs time.
+/// What each machine and each job that waits add to it: a plan costs time. With
+/// thousands of jobs whoever leads otherwise does nothing but plan.
 const PLAN_GAP_EACH: Duration = Duration::from_micros(100);
 /// The time after which a plan is made even without news.
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
@@ -57,7 +59,9 @@
     borrowed: HashSet<JobId>,
     wants: Vec<Want>,
     /// Machine types kept for tasks that fit nowhere else and have waited.
-    scarce: BTreeSet<String>,
+    scarce: Rc<BTreeSet<String>>,
+    /// The types that tasks of a kind fit.
+    fitting: HashMap<Fitting, Rc<BTreeSet<String>>>,
     /// Needs for which no machine has room: rooms only shrink in a plan, so
     /// whoever needs the same need not look again.
     full: HashSet<Need>,
@@ -75,11 +79,18 @@
     avoids: bool,
 }
 
+/// What decides on which types a task fits, and whether it has to leave the
+/// scarce ones alone.
+type Fitting = ([u64; 3], Option<Vec<String>>, bool);
+
+fn bits(need: &Amounts) -> [u64; 3] {
+    [need.cpus, need.gpus, need.memory_gb].map(f64::to_bits)
+}
+
 impl Need {
     fn new(spec: &JobSpec, avoids: bool) -> Self {
-        let need = spec.amounts();
         Self {
-            amounts: [need.cpus, need.gpus, need.memory_gb].map(f64::to_bits),
+            amounts: bits(&spec.amounts()),
             spot: spec.spot,
             types: spec.types.clone(),
             zone: spec.zone.clone(),
@@ -121,7 +132,8 @@
             return;
         };
         let due = leader.plan_due || now >= leader.plan_at + PLAN_PERIOD;
-        let gap = PLAN_GAP + PLAN_GAP_EACH * leader.rooms.list.len() as u32;
+        let looked_at = leader.rooms.list.len() + leader.waiting;
+        let gap = PLAN_GAP + PLAN_GAP_EACH * looked_at as u32;
         if !due || now < leader.plan_at + gap || !contact {
             return;
         }
@@ -134,7 +146,8 @@
             used: BTreeMap::new(),
             borrowed: HashSet::new(),
             wants: Vec::new(),
-            scarce: BTreeSet::new(),
+            scarce: Rc::default(),
+            fitting: HashMap::new(),
             full: HashSet::new(),
             searches: 0,
         };
@@ -147,6 +160,9 @@
         plan.fleet = plan.rooms.all();
         self.count_used(&mut plan);
         let queue = self.queue(&mut plan);
+        if let Some(leader) = &mut self.leader {
+            leader.waiting = queue.len();
+        }
         for queued in queue {
             self.hand_job(&mut plan, &queued);
         }
@@ -264,9 +280,10 @@
             if !guaranteed {
                 plan.borrowed.insert(id.clone());
             }
+            let flow = job.flow.clone().unwrap_or_else(|| Flow::of(spec));
             if spec.shape != Shape::Service {
                 let seen = Progress {
-                    flow: Flow::of(spec),
+                    flow: flow.clone(),
                     work_s: most_share(&need, &plan.fleet) * spec.estimate_s,
                     done: job.done,
                     handed: job.handed_total(),
@@ -282,9 +299,10 @@
                 queue.push(Queued {
                     id: id.clone(),
                     spec: spec.clone(),
+                    flow,
                     tasks: job.waiting(),
-                    types: BTreeSet::new(),
-                    avoid: BTreeSet::new(),
+                    types: Rc::default(),
+                    avoid: Rc::default(),
                     limit_cpus: share.limit.0,
                     guaranteed,
                     priority: self.view.priority(id, spec),
@@ -296,11 +314,17 @@
                 });
             }
         }
-        plan.scarce = self.scarce(&queue);
+        plan.scarce = Rc::new(self.scarce(plan, &queue));
         for queued in &mut queue {
-            let types = self.types_for(&queued.spec);
-            queued.avoid = avoid(plan, &queued.spec, &types);
-            queued.types = types.difference(&queued.avoid).cloned().collect();
+            let spec = &queued.spec;
+            let types = self.types_for(plan, spec, false);
+            if spec.priority == Priority::Production || types.is_subset(&plan.scarce) {
+                queued.types = types;
+            } else {
+                // It has others.
+                queued.types = self.types_for(plan, spec, true);
+                queued.avoid = plan.scarce.clone();
+            }
         }
         let Some(leader) = &mut self.leader else {
             return queue;
@@ -315,26 +339,34 @@
             .order(now, &plan.rooms.list, &plan.used, queue)
     }
 
-    /// The machine types that a job's tasks fit.
-    fn types_for(&self, spec: &JobSpec) -> BTreeSet<String> {
-        let types = self.types.values();
-        types
-            .filter(|t| spec.allows_type(&t.name) && fits(&spec.amounts(), &t.amounts()))
-            .map(|t| t.name.clone())
-            .collect()
+    /// The machine types that a job's tasks fit, the scarce ones aside or not.
+    fn types_for(&self, plan: &mut Plan, spec: &JobSpec, aside: bool) -> Rc<BTreeSet<String>> {
+        let need = spec.amounts();
+        let scarce = &plan.scarce;
+        let known = plan.fitting.entry((bits(&need), spec.types.clone(), aside));
+        let types = known.or_insert_with(|| {
+            let fit = |t: &&MachineType| {
+                spec.allows_type(&t.name)
+                    && fits(&need, &t.amounts())
+                    && !(aside && scarce.contains(&t.name))
+            };
+            let types = self.types.values().filter(fit);
+            Rc::new(types.map(|t| t.name.clone()).collect())
+        });
+        types.clone()
     }
 
     /// Types that are all that some job can use which has waited for a while.
     /// Without this, small tasks take every bit of room that gets free on a
     /// large machine, and a large task never finds enough of it.
-    fn scarce(&self, queue: &[Queued]) -> BTreeSet<String> {
+    fn scarce(&self, plan: &mut Plan, queue: &[Queued]) -> BTreeSet<String> {
         let patience = self.tuning.scarce_after.as_secs_f64();
         let mut scarce = BTreeSet::new();
         for queued in queue {
             if queued.waited_s > patience {
-                let fits = self.types_for(&queued.spec);
+                let fits = self.types_for(plan, &queued.spec, false);
                 if fits.len() < self.types.len() {
-                    scarce.extend(fits);
+                    scarce.extend(fits.iter().cloned());
                 }
             }
         }
@@ -696,15 +728,6 @@
     }
 }
 
-/// The types that a job, which fits on some, should leave alone, as it has
-/// others.
-fn avoid(plan: &Plan, spec: &JobSpec, mine: &BTreeSet<String>) -> BTreeSet<String> {
-    if spec.priority == Priority::Production || mine.is_subset(&plan.scarce) {
-        return BTreeSet::new();
-    }
-    plan.scarce.clone()
-}
-
 /// The blocks, with their terms, that tasks of a chunk are handed to.
 fn handed_to(job: &Job, part: u32) -> BTreeSet<(BlockId, Term)> {
     let chunk = job.chunks.get(&part);
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -50,6 +50,8 @@
     pub version: u64,
     pub plan_due: bool,
     pub plan_at: Duration,
+    /// Jobs with tasks that waited at the last plan.
+    pub waiting: usize,
     /// Duties under way, and when to look at them again.
     duties: BTreeMap<Duty, Duration>,
     /// Reports of machines that have no record yet.
@@ -111,6 +113,7 @@
                     version,
                     plan_due: true,
                     plan_at: self.now,
+                    waiting: 0,
                     duties: BTreeMap::new(),
                     reports: Vec::new(),
                     up: BTreeMap::new(),
--- a/crates/core/src/rooms.rs
+++ b/crates/core/src/rooms.rs
@@ -9,7 +9,7 @@
 
 use oliveshift_policy::{
     Candidate,
-    fleet::{Coming, Offer},
+    fleet::{Offer, Stock},
     score::{minus, plus},
 };
 use oliveshift_wire::{
@@ -73,14 +73,6 @@
         }
     }
 
-    /// Its free room after the last plan, for sizing the fleet.
-    pub fn coming(&self) -> Coming {
-        Coming {
-            offer: self.offer(),
-            free: self.candidate.free,
-        }
-    }
-
     /// As what it was rented.
     pub fn offer(&self) -> Offer {
         Offer {
@@ -90,12 +82,16 @@
         }
     }
 
-    /// The same with what running work will probably have left by the time a
-    /// machine rented now would be up.
-    pub fn coming_with_ending(&self) -> Coming {
-        let mut coming = self.coming();
-        coming.free = plus(&coming.free, &self.ending);
-        coming
+    /// Its free room after the last plan, for sizing the fleet; with what running
+    /// work will probably have left by the time a machine rented now would be
+    /// up, or without.
+    pub fn add_to(&self, stock: &mut Stock, with_ending: bool) {
+        let free = &self.candidate.free;
+        let free = match with_ending {
+            true => plus(free, &self.ending),
+            false => *free,
+        };
+        stock.add(&self.kind, &self.zone, self.spot, free);
     }
 
     pub fn take(&mut self, spec: &JobSpec) {
--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -29,12 +29,13 @@
 pub(crate) struct Queued {
     pub id: JobId,
     pub spec: Rc<JobSpec>,
+    pub flow: Flow,
     /// Tasks that wait.
     pub tasks: u32,
     /// The machine types that it may use now.
-    pub types: BTreeSet<String>,
+    pub types: Rc<BTreeSet<String>>,
     /// Those that it leaves to others now.
-    pub avoid: BTreeSet<String>,
+    pub avoid: Rc<BTreeSet<String>>,
     /// What its team may use; 0: no limit.
     pub limit_cpus: f64,
     pub guaranteed: bool,
@@ -179,7 +180,7 @@
         let mut late: BTreeMap<Flow, (f64, Oldest)> = BTreeMap::new();
         let mut long: BTreeSet<Flow> = BTreeSet::new();
         for (queued, job) in queue.iter().zip(&*jobs).filter(|(q, _)| q.borrows()) {
-            let flow = Flow::of(&queued.spec);
+            let flow = &queued.flow;
             // Work for otherwise unused room is entitled to none: a batch of
             // thousands of tasks made urgent work wait for 3 s on average.
             let entitled = queued.priority != Priority::Low;
@@ -187,12 +188,12 @@
                 long.insert(flow.clone());
             }
             let older = |(waited, _): &(f64, Oldest)| *waited >= queued.waited_s;
-            if queued.left_s(queued.latest_s.last()) < 0.0 && !late.get(&flow).is_some_and(older) {
+            if queued.left_s(queued.latest_s.last()) < 0.0 && !late.get(flow).is_some_and(older) {
                 let oldest = Oldest {
                     id: queued.id.clone(),
                     work: job.work(),
                 };
-                late.insert(flow, (queued.waited_s, oldest));
+                late.insert(flow.clone(), (queued.waited_s, oldest));
             }
         }
         let late = late.into_iter().map(|(flow, (_, o))| (flow, o)).collect();
@@ -203,7 +204,7 @@
         for at in order {
             let queued = &queue[*at];
             // Of a flow that had less than its part, the first that borrows.
-            let first = queued.borrows() && short.remove(&Flow::of(&queued.spec));
+            let first = queued.borrows() && short.remove(&queued.flow);
             if first || turns.contains(&queued.id) {
                 jobs[*at].stratum.behind_floor = false;
                 ahead = true;
@@ -220,7 +221,7 @@
     used: &'a BTreeMap<String, Amounts>,
     lines: Vec<triage::Line>,
     /// What machines of some types have in all, services aside.
-    machines: BTreeMap<BTreeSet<String>, (usize, Amounts)>,
+    machines: BTreeMap<Rc<BTreeSet<String>>, (usize, Amounts)>,
     teams: BTreeMap<String, usize>,
 }
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -14,6 +14,7 @@
 };
 use rmpv::Value;
 
+use crate::floors::Flow;
 use crate::gate::AdmissionRecord;
 use crate::records::{
     BlockId, BlockRecord, ChunkRecord, FormatRecord, JobRecord, Key, Level, LevelRecord,
@@ -42,6 +43,8 @@
     pub done_ms: Option<u64>,
     /// The description, unless compacted.
     pub spec: Option<Rc<JobSpec>>,
+    /// The flow that it belongs to, as soon as that is known.
+    pub flow: Option<Flow>,
     /// It is known to be a service.
     pub service: bool,
     /// Records that continue the description: how many there are to be, what
@@ -428,6 +431,7 @@
             since_ms: record.at_ms,
             done_ms: None,
             spec: None,
+            flow: None,
             service: false,
             more: 0,
             begun: None,
@@ -450,6 +454,7 @@
         match record.spec {
             Some(spec) if job.spec.is_none() => {
                 job.service = spec.shape == Shape::Service;
+                job.flow = Some(Flow::of(&spec));
                 if record.phase == Phase::Open && record.more > 0 {
                     job.begun = Some(Box::new(spec));
                 } else {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -32,15 +32,6 @@
     pub spot: bool,
 }
 
-/// Room that is on its way: rented, not up yet.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Coming {
-    /// What it is.
-    pub offer: Offer,
-    /// What no task has been counted on.
-    pub free: Amounts,
-}
-
 /// How many tasks of `need` fit into `room`.
 pub fn how_many(need: &Amounts, room: &Amounts) -> u32 {
     let by = |need: f64, room: f64| {
@@ -60,23 +51,123 @@
     }
 }
 
-/// Counts `wants`, first come first served, on what is coming and says what
+/// Room that work is counted on, first come first served.
+///
+/// Under a flood there are thousands of wants and machines, and few kinds of
+/// either: what a kind of want can have is worked out once, and what has no room
+/// left for one is not looked at for the next.
+#[derive(Clone, Debug, Default)]
+pub struct Stock {
+    offers: Vec<Offer>,
+    rooms: Vec<(usize, Amounts)>,
+    kinds: Vec<Kind>,
+    /// How often a machine was looked at.
+    #[cfg(test)]
+    looks: usize,
+}
+
+/// What wants of a kind have in common.
+#[derive(Clone, Debug)]
+struct Kind {
+    need: Amounts,
+    spot: bool,
+    types: Option<Vec<String>>,
+    zones: Vec<String>,
+    /// By offer, as far as they were looked at.
+    suits: Vec<bool>,
+    /// No room before this one has any for it.
+    from: usize,
+}
+
+impl Kind {
+    fn is_of(&self, want: &Want) -> bool {
+        self.need == want.need
+            && self.spot == want.spot
+            && self.types == want.types
+            && self.zones == want.zones
+    }
+}
+
+impl Stock {
+    /// Adds a machine with what it has free.
+    pub fn add(&mut self, kind: &str, zone: &str, spot: bool, free: Amounts) {
+        let same = |o: &Offer| o.spot == spot && o.zone == zone && o.kind == kind;
+        let offer = self.offers.iter().position(same).unwrap_or_else(|| {
+            self.offers.push(Offer {
+                kind: kind.to_owned(),
+                zone: zone.to_owned(),
+                spot,
+            });
+            self.offers.len() - 1
+        });
+        self.rooms.push((offer, free));
+    }
+
+    /// The kind of a want, as its number.
+    fn kind(&mut self, want: &Want) -> usize {
+        let known = self.kinds.iter().position(|k| k.is_of(want));
+        let at = known.unwrap_or_else(|| {
+            self.kinds.push(Kind {
+                need: want.need,
+                spot: want.spot,
+                types: want.types.clone(),
+                zones: want.zones.clone(),
+                suits: Vec::new(),
+                from: 0,
+            });
+            self.kinds.len() - 1
+        });
+        let kind = &mut self.kinds[at];
+        let new = self.offers.iter().skip(kind.suits.len());
+        kind.suits.extend(new.map(|offer| suits(want, offer)));
+        at
+    }
+
+    /// Counts a want on what is there; returns how many of its tasks are left.
+    pub fn count_on(&mut self, want: &Want) -> u32 {
+        let at = self.kind(want);
+        let kind = &mut self.kinds[at];
+        let mut left = want.tasks;
+        while left > 0
+            && let Some((offer, free)) = self.rooms.get_mut(kind.from)
+        {
+            #[cfg(test)]
+            {
+                self.looks += 1;
+            }
+            if kind.suits[*offer] {
+                left -= put(&want.need, left, free);
+                if fits(&want.need, free) {
+                    break;
+                }
+            }
+            kind.from += 1;
+        }
+        left
+    }
+}
+
+/// Counts `wants`, first come first served, on what there is and says what
 /// to rent besides, at most `most` machines. `closed` tells which offers were
 /// refused lately; `load` how much there is in a zone already, so that equal
 /// prices spread.
 pub fn to_rent(
     wants: &[Want],
-    coming: &mut Vec<Coming>,
+    stock: &mut Stock,
     types: &[MachineType],
     closed: impl Fn(&Offer) -> bool,
     load: impl Fn(&str) -> u32,
     most: usize,
 ) -> Vec<Offer> {
     let mut rent = Vec::new();
+    // Kinds of wants for which nothing can be had now.
+    let mut nothing: Vec<(usize, bool)> = Vec::new();
     for want in wants {
-        let mut left = count_on(want, coming);
-        while left > 0 && rent.len() < most {
+        let mut left = stock.count_on(want);
+        let kind = (stock.kind(want), want.spot_only);
+        while left > 0 && rent.len() < most && !nothing.contains(&kind) {
             let Some((offer, total)) = cheapest(want, left, types, &closed, &load, &rent) else {
+                nothing.push(kind);
                 break;
             };
             let mut free = total;
@@ -85,24 +176,13 @@
                 break;
             }
             left -= placed;
-            rent.push(offer.clone());
-            coming.push(Coming { offer, free });
+            stock.add(&offer.kind, &offer.zone, offer.spot, free);
+            rent.push(offer);
         }
     }
     rent
 }
 
-/// Counts a want on what is there; returns how many of its tasks are left.
-pub fn count_on(want: &Want, coming: &mut [Coming]) -> u32 {
-    let mut left = want.tasks;
-    for c in coming.iter_mut() {
-        if left > 0 && suits(want, &c.offer) {
-            left -= put(&want.need, left, &mut c.free);
-        }
-    }
-    left
-}
-
 /// Whether a machine of a kind may take a want's tasks.
 pub fn suits(want: &Want, offer: &Offer) -> bool {
     (want.spot || !offer.spot)
@@ -110,6 +190,7 @@
         && want.types.as_ref().is_none_or(|t| t.contains(&offer.kind))
 }
 
+/// Puts as many of the tasks there as fit.
 fn put(need: &Amounts, tasks: u32, free: &mut Amounts) -> u32 {
     let mut placed = 0;
     while placed < tasks && fits(need, free) && placed < 10_000 {
@@ -199,18 +280,16 @@
             zone: zone.into(),
             spot,
         };
-        let mut coming = vec![Coming {
-            offer: offer("s", "a", true),
-            free: types[0].amounts(),
-        }];
+        let mut stock = Stock::default();
+        stock.add("s", "a", true, types[0].amounts());
         let wants = [want(3, 4.0, true)];
-        let got = to_rent(&wants, &mut coming, &types, |_| false, |_| 0, 9);
+        let got = to_rent(&wants, &mut stock, &types, |_| false, |_| 0, 9);
         assert_eq!(got, [offer("s", "a", true), offer("s", "b", true)]);
 
         // A large machine is cheaper for each of four tasks than four small.
         let got = to_rent(
             &[want(4, 4.0, false)],
-            &mut Vec::new(),
+            &mut Stock::default(),
             &types,
             |o| o.zone == "a",
             |_| 0,
@@ -221,7 +300,7 @@
         // Nothing that could take the task.
         let got = to_rent(
             &[want(1, 99.0, true)],
-            &mut Vec::new(),
+            &mut Stock::default(),
             &types,
             |_| false,
             |_| 0,
@@ -229,4 +308,29 @@
         );
         assert_eq!(got, []);
     }
+
+    /// Each of thousands of wants was counted on each machine, string by
+    /// string: under a flood of 20 times that took a third of the processor
+    /// time of all controllers, and the portal lost its leases for it.
+    #[test]
+    fn machines_without_room_are_not_looked_at_again() {
+        let types = [kind("s", 4.0, 0.3)];
+        let mut stock = Stock::default();
+        for at in 0..1000 {
+            let free = if at % 2 == 0 { 0.0 } else { 4.0 };
+            let free = Amounts {
+                cpus: free,
+                gpus: 0.0,
+                memory_gb: 16.0,
+            };
+            stock.add("s", "a", true, free);
+        }
+        let wants: Vec<_> = (0..2000)
+            .map(|i| want(1, [2.0, 4.0][i % 2], true))
+            .collect();
+        let got = to_rent(&wants, &mut stock, &types, |_| true, |_| 0, 9);
+        assert_eq!(got, []);
+        let looks = stock.looks;
+        assert!(looks < 2 * 1000 + 2000, "{looks}");
+    }
 }
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -1,13 +1,18 @@
 //! The policy once more, slow and plain, for the real one to be compared with.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Ordering::Equal, collections::BTreeMap, time::Duration};
 
 use oliveshift_policy::{
     Candidate, Task, Weights,
+    fleet::{Offer, Want, how_many, suits},
     graph::{Claim, Named, Own, Standing},
+    score::{fits, minus},
     triage::{Line, Waiting},
 };
-use oliveshift_wire::job::Priority;
+use oliveshift_wire::{
+    cloud::MachineType,
+    job::{Amounts, Priority},
+};
 
 /// The score by the words of the paper and of our additions, each computed by
 /// itself.
@@ -214,3 +219,64 @@
         }
     }
 }
+
+/// How many of a want's tasks find no room, task by task and machine by machine.
+pub fn count_on(want: &Want, rooms: &mut [(Offer, Amounts)]) -> u32 {
+    let mut left = want.tasks;
+    for (_, free) in rooms.iter_mut().filter(|(offer, _)| suits(want, offer)) {
+        while left > 0 && fits(&want.need, free) {
+            *free = minus(free, &want.need);
+            left -= 1;
+        }
+    }
+    left
+}
+
+/// What to rent, machine by machine: of all offers the cheapest for a task.
+pub fn to_rent(
+    wants: &[Want],
+    rooms: &mut Vec<(Offer, Amounts)>,
+    types: &[MachineType],
+    closed: &[Offer],
+    most: usize,
+) -> Vec<Offer> {
+    let mut rent: Vec<Offer> = Vec::new();
+    for want in wants {
+        let mut left = count_on(want, rooms);
+        while left > 0 && rent.len() < most {
+            let mut offers = Vec::new();
+            for kind in types {
+                let room = how_many(&want.need, &kind.amounts()).min(left);
+                for (spot, price) in [(true, kind.spot_price), (false, kind.price)] {
+                    for zone in &kind.zones {
+                        let offer = Offer {
+                            kind: kind.name.clone(),
+                            zone: zone.clone(),
+                            spot,
+                        };
+                        let there = rent.iter().filter(|o| o.zone == *zone).count();
+                        let allowed = suits(want, &offer) && (spot || !want.spot_only);
+                        if room > 0 && allowed && !closed.contains(&offer) {
+                            let rank = (price / f64::from(room), there, offers.len());
+                            offers.push((rank, offer, kind.amounts(), room));
+                        }
+                    }
+                }
+            }
+            let least = offers
+                .into_iter()
+                .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Equal));
+            let Some((_, offer, total, room)) = least else {
+                break;
+            };
+            let mut free = total;
+            for _ in 0..room {
+                free = minus(&free, &want.need);
+            }
+            left -= room;
+            rooms.push((offer.clone(), free));
+            rent.push(offer);
+        }
+    }
+    rent
+}
--- a/crates/testkit/tests/admission.rs
+++ b/crates/testkit/tests/admission.rs
@@ -402,8 +402,8 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let count = rng.usize(1..7);
         let flow = |i: usize| Flow {
-            team: format!("t{}", i % 3),
-            class: format!("c{i}"),
+            team: format!("t{}", i % 3).into(),
+            class: format!("c{i}").into(),
         };
         let mut floors = Floors::default();
         let mut number = 0;
--- a/crates/testkit/tests/policy.rs
+++ b/crates/testkit/tests/policy.rs
@@ -4,6 +4,7 @@
 
 use oliveshift_policy::{
     Candidate, Task, Weights, best,
+    fleet::{Offer, Stock, Want, to_rent},
     graph::{Graph, Named, Own, Standing},
     ranking::Ranking,
     score::minus,
@@ -11,7 +12,10 @@
     triage::{self, Line, Stratum, Waiting},
 };
 use oliveshift_testkit::model::{self, PlainJob, PlainJobs};
-use oliveshift_wire::job::{Amounts, Priority};
+use oliveshift_wire::{
+    cloud::MachineType,
+    job::{Amounts, Priority},
+};
 
 #[test]
 fn the_top_scorer_is_the_models() {
@@ -378,3 +382,74 @@
         assert!(given.iter().sum::<f64>() <= whole + 1e-9);
     }
 }
+
+#[test]
+fn what_is_rented_is_what_the_model_rents() {
+    let mut rng = fastrand::Rng::with_seed(37);
+    let zones: Vec<String> = ["a", "b", "c"].map(String::from).into();
+    let kind = |name: &str, cpus: f64, price: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: price / 3.0,
+        boot_s: 20.0,
+        zones: zones.clone(),
+    };
+    let types = [kind("s", 4.0, 0.3), kind("l", 16.0, 1.1)];
+    let (mut rented, mut placed) = (0, 0);
+    for _ in 0..400 {
+        let offer = |rng: &mut fastrand::Rng| Offer {
+            kind: types[rng.usize(0..2)].name.clone(),
+            zone: zones[rng.usize(0..3)].clone(),
+            spot: rng.bool(),
+        };
+        let mut rooms = Vec::new();
+        let mut stock = Stock::default();
+        for _ in 0..rng.usize(0..40) {
+            let offer = offer(&mut rng);
+            let cpus = f64::from(rng.u32(0..17));
+            let free = Amounts {
+                cpus,
+                gpus: 0.0,
+                memory_gb: cpus * 4.0,
+            };
+            stock.add(&offer.kind, &offer.zone, offer.spot, free);
+            rooms.push((offer, free));
+        }
+        let closed: Vec<_> = (0..rng.usize(0..8)).map(|_| offer(&mut rng)).collect();
+        let wants: Vec<_> = (0..rng.usize(1..30))
+            .map(|_| Want {
+                need: Amounts {
+                    cpus: [0.25, 2.0, 4.0, 8.0, 32.0][rng.usize(0..5)],
+                    gpus: 0.0,
+                    memory_gb: [1.0, 25.0][rng.usize(0..2)],
+                },
+                tasks: rng.u32(1..30),
+                spot: rng.bool(),
+                spot_only: rng.bool(),
+                types: (rng.u32(0..4) == 0).then(|| vec!["l".to_owned()]),
+                zones: zones
+                    .iter()
+                    .filter(|_| rng.u32(0..4) > 0)
+                    .cloned()
+                    .collect(),
+            })
+            .collect();
+        let most = rng.usize(0..12);
+        let is_closed = |o: &Offer| closed.contains(o);
+        let real = to_rent(&wants, &mut stock, &types, is_closed, |_| 0, most);
+        let plain = model::to_rent(&wants, &mut rooms, &types, &closed, most);
+        assert_eq!(real, plain, "{wants:?}");
+        rented += real.len();
+        for want in &wants {
+            let left = stock.count_on(want);
+            assert_eq!(left, model::count_on(want, &mut rooms), "{want:?}");
+            placed += want.tasks - left;
+        }
+    }
+    assert!(rented > 800 && placed > 100, "{rented} {placed}");
+}
