Room is made for all replicas of a service at a time

Cause: a service without room had one machine cleared for it a plan, whatever its number of replicas; with plans some hundred milliseconds apart a job of 16 waited for seconds. Change: one search chooses as many machines as the waiting replicas need, those with the fewest to be stopped first, within what zones may have.

--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -522,13 +522,14 @@
         }
         if full && left > 0 {
             let zones = self.settings.params.zones.iter();
-            let zones: Vec<String> = zones
+            let open: BTreeMap<String, u32> = zones
                 .filter(|z| spec.allows_zone(z))
-                .filter(|z| in_zone.get(*z).copied().unwrap_or(0) < cap)
                 .filter(|z| only.as_ref().is_none_or(|o| o == *z))
-                .cloned()
+                .map(|z| (z, cap.saturating_sub(in_zone.get(z).copied().unwrap_or(0))))
+                .filter(|(_, left)| *left > 0)
+                .map(|(z, left)| (z.clone(), left))
                 .collect();
-            self.make_room(plan, queued, &spec, &zones);
+            let zones = open.keys().cloned().collect();
             let by_limit = |limit: f64, used: f64, need: f64| {
                 if limit > 0.0 && need > 0.0 {
                     ((limit - used) / need).max(0.0) as u32
@@ -540,6 +541,7 @@
             let tasks = left
                 .min(by_limit(share.limit.0, used.cpus, need.cpus))
                 .min(by_limit(share.limit.1, used.gpus, need.gpus));
+            self.make_room(plan, queued, &spec, tasks, open);
             let waited = self.day.as_millis() as f64 / 1e3 - job_at;
             let patience = self.spot_patience_s(&spec);
             plan.wants.push(Want {
@@ -635,96 +637,118 @@
         }
     }
 
-    /// Asks tasks to make room for one that has none: of lower priority, or
-    /// borrowed while the other is guaranteed its share.
+    /// Asks tasks to make room for those of a job that have none: tasks of lower
+    /// priority, or borrowed ones while the job is guaranteed its share. `zones`
+    /// tells how many of the job's may go where.
     fn make_room(
         &mut self,
         plan: &mut Plan,
         queued: &Queued,
         spec: &Rc<JobSpec>,
-        zones: &[String],
+        tasks: u32,
+        mut zones: BTreeMap<String, u32>,
     ) {
-        if queued.priority != Priority::Production && !queued.guaranteed {
-            return;
-        }
-        if plan.searches >= MOST_SEARCHES {
+        let production = queued.priority == Priority::Production;
+        if !production && !queued.guaranteed || plan.searches >= MOST_SEARCHES {
             return;
         }
         plan.searches += 1;
-        let now = self.now;
+        // People wait for all replicas of a service. Of other work only as much
+        // is stopped at a time as one task needs: room gets free by itself, too.
+        let mut left = if production { tasks } else { 1 };
         let need = spec.amounts();
-        let mut top: Option<(usize, usize, Vec<TaskId>)> = None;
+        let mut rooms = Vec::new();
         for (at, room) in plan.rooms.list.iter().enumerate() {
             if room.tasks.is_empty()
                 || !fits(&need, &room.candidate.total)
                 || !room.takes(spec)
-                || !zones.contains(&room.zone)
+                || !zones.contains_key(&room.zone)
             {
                 continue;
             }
-            let mut free = room.candidate.free;
-            let mut victims = Vec::new();
-            let mut asked = 0;
-            let mut options: Vec<_> = room
-                .tasks
-                .iter()
-                .filter_map(|(task, other)| {
-                    let theirs = self.view.priority(&task.job, other);
-                    let may = may_preempt(
-                        queued.priority,
-                        queued.guaranteed,
-                        theirs,
-                        plan.borrowed.contains(&task.job),
-                        other.team == spec.team,
-                    );
-                    if !may {
-                        return None;
-                    }
-                    let is_asked = self.leader.as_ref()?.asked.contains_key(task);
-                    // People wait for production: the quickest to stop goes
-                    // first. Otherwise those that lose nothing do.
-                    let lost = match (queued.priority, other.saves()) {
-                        (Priority::Production, true) => other.save_time(),
-                        (Priority::Production, false) | (_, true) => Duration::ZERO,
-                        (_, false) => Duration::from_secs(1),
-                    };
-                    let priority = std::cmp::Reverse(theirs);
-                    Some((!is_asked, priority, lost, task, other))
-                })
-                .collect();
-            options.sort_by(|a, b| (a.0, a.1, a.2, a.3).cmp(&(b.0, b.1, b.2, b.3)));
-            for (new, _, _, task, other) in options {
-                if fits(&need, &free) {
-                    break;
-                }
-                free = plus(&free, &other.amounts());
-                if new {
-                    victims.push(task.clone());
-                } else {
-                    asked += 1;
-                }
+            if let Some((free, victims)) = self.victims(plan, room, queued, &need) {
+                rooms.push((victims.len(), at, how_many(&need, &free), victims));
             }
-            if !fits(&need, &free) || (victims.is_empty() && asked == 0) {
-                continue;
+        }
+        // The fewest to be stopped first; those that were asked before are none.
+        rooms.sort_by_key(|(victims, at, ..)| (*victims, *at));
+        for (_, at, fit, victims) in rooms {
+            if left == 0 {
+                break;
             }
-            if top.as_ref().is_none_or(|(n, ..)| victims.len() < *n) {
-                top = Some((victims.len(), at, victims));
+            let room = &mut plan.rooms.list[at];
+            let Some(open) = zones.get_mut(&room.zone).filter(|open| **open > 0) else {
+                continue;
+            };
+            let taken = fit.min(left).min(*open);
+            left -= taken;
+            *open -= taken;
+            // Nothing else of this plan goes there.
+            room.closed = true;
+            let name = room.name.clone();
+            for task in victims {
+                log::info!("{task}: to make room on {name} for {}", queued.id);
+                if let Some(leader) = &mut self.leader {
+                    leader.asked.insert(task.clone(), self.now);
+                }
+                self.ask_for_room(&task);
             }
         }
-        let Some((_, at, victims)) = top else { return };
-        // Nothing else of this plan goes there.
-        plan.rooms.list[at].closed = true;
-        for task in victims {
-            log::info!(
-                "{task}: to make room on {} for {}",
-                plan.rooms.list[at].name,
-                queued.id
-            );
-            if let Some(leader) = &mut self.leader {
-                leader.asked.insert(task.clone(), now);
+    }
+
+    /// Which tasks have yet to be asked so that a machine gets room for a task,
+    /// and what it has free then; none if it can't.
+    fn victims(
+        &self,
+        plan: &Plan,
+        room: &Room,
+        queued: &Queued,
+        need: &Amounts,
+    ) -> Option<(Amounts, Vec<TaskId>)> {
+        let mut free = room.candidate.free;
+        let mut victims = Vec::new();
+        let mut asked = 0;
+        let mut options: Vec<_> = room
+            .tasks
+            .iter()
+            .filter_map(|(task, other)| {
+                let theirs = self.view.priority(&task.job, other);
+                let may = may_preempt(
+                    queued.priority,
+                    queued.guaranteed,
+                    theirs,
+                    plan.borrowed.contains(&task.job),
+                    other.team == queued.spec.team,
+                );
+                if !may {
+                    return None;
+                }
+                let is_asked = self.leader.as_ref()?.asked.contains_key(task);
+                // People wait for production: the quickest to stop goes
+                // first. Otherwise those that lose nothing do.
+                let lost = match (queued.priority, other.saves()) {
+                    (Priority::Production, true) => other.save_time(),
+                    (Priority::Production, false) | (_, true) => Duration::ZERO,
+                    (_, false) => Duration::from_secs(1),
+                };
+                let priority = std::cmp::Reverse(theirs);
+                Some((!is_asked, priority, lost, task, other))
+            })
+            .collect();
+        options.sort_by(|a, b| (a.0, a.1, a.2, a.3).cmp(&(b.0, b.1, b.2, b.3)));
+        for (new, _, _, task, other) in options {
+            if fits(need, &free) {
+                break;
+            }
+            free = plus(&free, &other.amounts());
+            if new {
+                victims.push(task.clone());
+            } else {
+                asked += 1;
             }
-            self.ask_for_room(&task);
         }
+        let possible = fits(need, &free) && (!victims.is_empty() || asked > 0);
+        possible.then_some((free, victims))
     }
 }
 
