--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -32,6 +32,9 @@
 impl Controller {
     /// A block's record has changed.
     pub(crate) fn block_changed(&mut self, id: BlockId) {
+        if let Some(block) = self.view.blocks.get(&id) {
+            self.reach.leased(self.now, id, block.version);
+        }
         let mine = self.view.blocks.get(&id).filter(|b| {
             #[cfg(feature = "sabotage")]
             if self.sabotage == Some(crate::Sabotage::OldLife) {
@@ -149,17 +152,14 @@
         };
         let block = record.block;
         let Some(held) = self.held.get(&block) else {
-            let holder = self.view.blocks.get(&block).map(|b| &b.record);
-            let report_to = holder
-                .filter(|b| self.view.holder_is_up(b) && b.holder != self.settings.node)
-                .map(|b| b.holder.clone());
-            return self.redirect(conn, report_to);
+            return self.stray(conn, report, block);
         };
         let term = held.term;
         if report.token > term {
             // Another holder has our block, and our view is late.
             return self.redirect(conn, None);
         }
+        self.reach.heard(self.now, block);
         let name = report.machine.clone();
         let (session, seq) = (report.session, report.seq);
         let newest = self.take_report(report, Origin::Report);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -29,6 +29,7 @@
     leader::Leader,
     machine::Machine,
     peers::{Link, PeerState},
+    reach::Reach,
     recorder::{Busy, News},
     records::{BlockId, Key, Level},
     seen::Own,
@@ -72,6 +73,10 @@
 /// Whoever is behind acts upon what came in once in this time.
 const SETTLE_EVERY: Duration = Duration::from_millis(50);
 
+/// Whoever took nothing in for so long may have lost its lease meanwhile, which
+/// is renewed each second.
+const STALLED: Duration = Duration::from_millis(1900);
+
 /// Ways to break the code on purpose, so that tests can show that they would
 /// notice.
 #[cfg(feature = "sabotage")]
@@ -110,6 +115,8 @@
     FromMemory,
     /// Users are told that a job is cancelled before the store has confirmed it.
     Unconfirmed,
+    /// Nothing is known about links.
+    NoReach,
 }
 
 /// A request that the controller made and has no reply to yet.
@@ -136,19 +143,27 @@
     },
     Peer(String, u64),
     Level(String),
+    Reach,
+    Inspect {
+        zone: String,
+        machine: String,
+    },
 }
 
 impl Pending {
     fn lane(&self) -> Lane {
         match self {
-            Self::Orders { .. } => Lane::Orders,
-            Self::Peer(..) | Self::Level(_) => Lane::Peers,
+            Self::Orders { .. } | Self::Inspect { .. } => Lane::Orders,
+            Self::Peer(..) | Self::Level(_) | Self::Reach => Lane::Peers,
             _ => Lane::Outside,
         }
     }
 
     fn is_doubtful(&self) -> bool {
-        matches!(self, Self::Orders { doubtful: true, .. })
+        matches!(
+            self,
+            Self::Orders { doubtful: true, .. } | Self::Inspect { .. }
+        )
     }
 }
 
@@ -204,6 +219,10 @@
     /// Tasks of held blocks that are done or given back and not recorded yet.
     pub(crate) over: BTreeSet<TaskId>,
     pub(crate) leader: Option<Leader>,
+    /// What is known about the links to workers.
+    pub(crate) reach: Reach,
+    /// Since when nobody leads.
+    pub(crate) leaderless_since: Option<Duration>,
     pub(crate) fleet: Fleet,
     /// Machines that the leader wants emptied.
     pub(crate) draining: BTreeSet<String>,
@@ -231,7 +250,6 @@
             lowered: settings.params.state.lowered(),
             program: Level::OWN,
             upgrade: Upgrade::default(),
-            settings: Rc::new(settings),
             tuning,
             rng,
             now: Duration::ZERO,
@@ -257,6 +275,9 @@
             own: Own::default(),
             over: BTreeSet::new(),
             leader: None,
+            reach: Reach::new(settings.report_period()),
+            leaderless_since: None,
+            settings: Rc::new(settings),
             draining: BTreeSet::new(),
             #[cfg(feature = "sabotage")]
             sabotage: None,
@@ -376,6 +397,9 @@
     }
 
     fn pass(&mut self, now: Now) {
+        if now.steady > self.now + STALLED {
+            self.stood_still(now.steady);
+        }
         self.now = self.now.max(now.steady);
         self.day = now.day;
     }
@@ -402,6 +426,7 @@
         self.store_tick();
         self.admission_tick();
         self.blocks_tick();
+        self.links_tick();
         self.cloud_tick();
         self.leader_tick();
     }
@@ -448,6 +473,11 @@
                     Err(_) => self.refuse(conn, 400, "not a message of this version"),
                 }
             }
+            (Side::Internal, (Some("reach"), None, ..), Method::Post)
+                if self.program >= Level::PIPELINES =>
+            {
+                self.hear_of_links(conn, &body);
+            }
             (Side::Internal, (Some("level"), None, ..), Method::Get)
                 if self.program >= Level::PIPELINES =>
             {
@@ -494,6 +524,8 @@
             } => self.orders_done(&machine, &starts, term, &reply),
             Pending::Peer(peer, version) => self.told(&peer, version, &reply),
             Pending::Level(node) => self.level_told(&node, &reply),
+            Pending::Reach => {}
+            Pending::Inspect { zone, machine } => self.inspected(&zone, &machine, &reply),
         }
     }
 
@@ -515,7 +547,10 @@
     pub(crate) fn changed(&mut self, key: &Key) {
         match key {
             Key::Leader | Key::Member(_) => self.members_changed(),
-            Key::Block(id) => self.block_changed(*id),
+            Key::Block(id) => {
+                self.block_changed(*id);
+                self.strays_answered();
+            }
             Key::Machines(..) => {
                 for name in std::mem::take(&mut self.view.news) {
                     self.machine_changed(&name);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -545,7 +545,11 @@
             }
             if silent > lost {
                 returns.push((name.clone(), "it is silent"));
-            } else if silent > self.silence_limit() * 3 / 2 && !room.tasks.is_empty() {
+            } else if silent > self.silence_limit() * 3 / 2
+                && !room.tasks.is_empty()
+                // A cut, which may end.
+                && !self.reach.nobody_hears(room.block)
+            {
                 early.push(name.clone());
             } else if unlisted {
                 returns.push((name.clone(), "it is gone"));
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -41,6 +41,8 @@
     Tidy(Vec<JobId>),
     /// Saying what may be let in.
     Admit,
+    /// Leaving the lead to others.
+    Resign,
 }
 
 /// What only the leader knows.
@@ -199,6 +201,7 @@
             return;
         }
         self.lease_blocks(tidy);
+        self.lease_reachable();
         self.keep_lists();
         self.finish();
         if tidy {
@@ -208,7 +211,7 @@
         self.fleet_tick();
     }
 
-    fn duty(&mut self, duty: Duty, txn: Txn, urgency: Urgency) -> bool {
+    pub(crate) fn duty(&mut self, duty: Duty, txn: Txn, urgency: Urgency) -> bool {
         let at = self.now + REDO;
         let known = |l: &Leader| l.duties.contains_key(&duty);
         if self.leader.as_ref().is_none_or(known)
@@ -250,7 +253,7 @@
         }
         let mut loads = self.loads();
         for (id, version, zone) in orphans {
-            if let Some(holder) = self.best_holder(&zone, &loads) {
+            if let Some(holder) = self.best_holder(&zone, &loads, None) {
                 let size = self.view.count_in(&id) + 1;
                 *loads.entry(holder.clone()).or_default() += size;
                 self.lease_block(id, version, zone, &holder);
@@ -258,7 +261,13 @@
         }
     }
 
-    fn lease_block(&mut self, id: BlockId, version: u64, zone: String, holder: &str) -> bool {
+    pub(crate) fn lease_block(
+        &mut self,
+        id: BlockId,
+        version: u64,
+        zone: String,
+        holder: &str,
+    ) -> bool {
         let Some(member) = self.view.members.get(holder) else {
             return false;
         };
@@ -293,7 +302,7 @@
     }
 
     /// How many machines each controller holds.
-    fn loads(&self) -> BTreeMap<String, usize> {
+    pub(crate) fn loads(&self) -> BTreeMap<String, usize> {
         let mut loads = BTreeMap::new();
         for (id, block) in &self.view.blocks {
             if self.view.holder_is_up(&block.record) {
@@ -306,11 +315,25 @@
 
     /// The controller that a block of a zone suits best: one in that zone,
     /// then the one with the fewest machines.
-    fn best_holder(&self, zone: &str, loads: &BTreeMap<String, usize>) -> Option<String> {
+    /// One that reaches the workers there goes before all others; instead of
+    /// `of`, nobody else will do.
+    pub(crate) fn best_holder(
+        &self,
+        zone: &str,
+        loads: &BTreeMap<String, usize>,
+        instead_of: Option<&str>,
+    ) -> Option<String> {
         let members = self.view.members.iter();
         let load = |name: &String| loads.get(name).copied().unwrap_or(0);
+        let us = &self.settings.node;
+        let serves = |name: &str| self.reach.serves(self.now, us, name, zone);
+        let fits = |name: &str| match instead_of {
+            Some(other) => name != other && serves(name),
+            None => true,
+        };
         members
-            .min_by_key(|(name, m)| (m.record.zone != zone, load(name), *name))
+            .filter(|(name, _)| fits(name))
+            .min_by_key(|(name, m)| (!serves(name), m.record.zone != zone, load(name), *name))
             .map(|(name, _)| name.clone())
     }
 
@@ -363,7 +386,9 @@
             let load = load_of(holder);
             let node = self.view.members.keys().find(|node| {
                 let gap = load.saturating_sub(load_of(node));
-                *node != holder && better(near(holder), near(node), gap, size)
+                let us = &self.settings.node;
+                let serves = self.reach.serves(self.now, us, node, &block.record.zone);
+                serves && *node != holder && better(near(holder), near(node), gap, size)
             })?;
             Some((*id, node.clone()))
         })
@@ -383,7 +408,7 @@
         }
         let newest = blocks.keys().chain(leader.making.keys()).max();
         let id = newest.map_or(0, |id| id + 1);
-        if let Some(holder) = self.best_holder(&zone, &self.loads())
+        if let Some(holder) = self.best_holder(&zone, &self.loads(), None)
             && self.lease_block(id, 0, zone.clone(), &holder)
             && let Some(leader) = &mut self.leader
         {
@@ -521,7 +546,7 @@
             .keys()
             .filter_map(|duty| match duty {
                 Duty::Tidy(ids) => Some(ids),
-                Duty::Lease(_) | Duty::Admit => None,
+                Duty::Lease(_) | Duty::Admit | Duty::Resign => None,
             })
             .flatten()
             .collect();
--- /dev/null
+++ b/crates/core/src/links.rs
@@ -0,0 +1,223 @@
+//! Where what is known about links comes from and what is done about it;
+//! [`crate::reach`] decides.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use oliveshift_wire::{
+    peer::ReachWord,
+    state::{Change, Txn},
+    worker::Report,
+};
+
+use crate::{
+    call::{ConnId, Method, Reply, Target},
+    controller::{Controller, Pending},
+    leader::Duty,
+    reach::Looked,
+    records::{BlockId, Level},
+    store::Urgency,
+};
+
+/// When to give a word to a peer, and a question to a machine, up.
+const TIMEOUT: Duration = Duration::from_millis(800);
+const INSPECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Whoever reaches no workers leaves the lead to the others for so long.
+const MODEST: Duration = Duration::from_secs(2);
+
+impl Controller {
+    /// A worker came whose block we don't hold.
+    pub(crate) fn stray(&mut self, conn: ConnId, report: Report, block: BlockId) {
+        let held = self.view.blocks.get(&block);
+        let up = held
+            .filter(|b| self.view.holder_is_up(&b.record) && b.record.holder != self.settings.node);
+        let Some(held) = up else {
+            return self.redirect(conn, None);
+        };
+        let (term, holder) = (held.version, held.record.holder.clone());
+        let waits = self.reach.strayed(self.now, &report, block, term);
+        log::debug!("{}: came here, though {holder} holds it", report.machine);
+        #[cfg(feature = "sabotage")]
+        let waits = waits && self.sabotage != Some(crate::Sabotage::NoReach);
+        if waits && self.in_contact() {
+            return self.reach.wait(self.now, conn, report);
+        }
+        self.redirect(conn, Some(holder));
+    }
+
+    /// Answers those strays whose block has been leased anew, and those that
+    /// have waited for long enough.
+    pub(crate) fn strays_answered(&mut self) {
+        let view = &self.view;
+        let over = self.reach.waited(self.now, |machine, term| {
+            let record = view.machines.get(machine);
+            let block = record.and_then(|m| view.blocks.get(&m.block));
+            block.is_none_or(|b| b.version != term)
+        });
+        for (conn, report) in over {
+            let record = self.view.machines.get(&report.machine);
+            let block = record.and_then(|m| self.view.blocks.get(&m.block));
+            let holder = block.filter(|b| self.view.holder_is_up(&b.record));
+            match holder.map(|b| b.record.holder.clone()) {
+                Some(holder) if holder != self.settings.node => {
+                    self.redirect(conn, Some(holder));
+                }
+                _ => self.known_report(conn, report),
+            }
+        }
+    }
+
+    pub(crate) fn links_tick(&mut self) {
+        let now = self.now;
+        if !self.store.ready {
+            return;
+        }
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::NoReach) {
+            return;
+        }
+        self.strays_answered();
+        let machines = &self.view.machines;
+        let held = || {
+            let mut held: BTreeMap<BlockId, (String, usize)> = BTreeMap::new();
+            for machine in self.machines.values().filter(|m| !m.expired) {
+                let zone = || (machine.record.zone.clone(), 0);
+                held.entry(machine.block).or_insert_with(zone).1 += 1;
+            }
+            held
+        };
+        let has_machines = |zone: &str| machines.values().any(|m| m.zone == zone);
+        let everywhere = &self.settings.params.zones;
+        self.reach.look(now, everywhere, held, has_machines);
+        let of_zone = |zone: &str| {
+            let zone = zone.to_owned();
+            let here = machines.iter().filter(move |(_, m)| m.zone == zone);
+            here.map(|(name, _)| name.as_str())
+        };
+        let rng = &mut self.rng;
+        let ask = self.reach.questions(now, of_zone, |n| rng.usize(0..n));
+        let ask: Vec<_> = ask.into_iter().map(str::to_owned).collect();
+        for machine in ask {
+            let Some(record) = self.view.machines.get(&machine) else {
+                continue;
+            };
+            let (to, zone) = (Target::Worker(record.addr.clone()), record.zone.clone());
+            let pending = Pending::Inspect { zone, machine };
+            let path = "/inspect".to_owned();
+            self.call(to, Method::Get, path, Vec::new(), INSPECT_TIMEOUT, pending);
+        }
+        if self.level() < Level::PIPELINES {
+            return;
+        }
+        let node = &self.settings.node;
+        if let Some(word) = self.reach.tell(now, node, self.incarnation) {
+            // Writing into memory can't fail.
+            let body = borsh::to_vec(&word).unwrap_or_default();
+            let peers: Vec<_> = self.links.keys().cloned().collect();
+            for peer in peers {
+                let (to, path) = (Target::Peer(peer), "/reach".to_owned());
+                self.call(
+                    to,
+                    Method::Post,
+                    path,
+                    body.clone(),
+                    TIMEOUT,
+                    Pending::Reach,
+                );
+            }
+        }
+    }
+
+    /// A peer tells of its links.
+    pub(crate) fn hear_of_links(&mut self, conn: ConnId, body: &[u8]) {
+        let Ok(word) = borsh::from_slice::<ReachWord>(body) else {
+            return self.refuse(conn, 400, "not a message of this version");
+        };
+        if !self.links.contains_key(&word.from) {
+            return self.refuse(conn, 403, "not a controller of this deployment");
+        }
+        let member = self.view.members.get(&word.from);
+        // What a process from before has said is about links of before.
+        if member.is_none_or(|m| m.record.incarnation == word.incarnation) {
+            self.reach.hear(self.now, word);
+        }
+        self.answer(conn, 200, Vec::new());
+    }
+
+    /// What came of a question to a machine.
+    pub(crate) fn inspected(&mut self, zone: &str, machine: &str, reply: &Reply) {
+        if matches!(reply, Reply::Answer { status: 200, .. }) {
+            self.reach.answered(self.now, zone, machine);
+        }
+    }
+
+    /// Leases blocks away from holders that their workers don't reach; whoever
+    /// leads and is one of these leaves the lead to others.
+    pub(crate) fn lease_reachable(&mut self) {
+        let now = self.now;
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::NoReach) {
+            return;
+        }
+        let blocks = self.view.blocks.iter();
+        let blocks = blocks.filter(|(_, b)| self.view.holder_is_up(&b.record));
+        let looked: Vec<_> = blocks
+            .map(|(id, b)| Looked {
+                id: *id,
+                term: b.version,
+                holder: &b.record.holder,
+                machines: self.view.count_in(id),
+            })
+            .collect();
+        let us = &self.settings.node;
+        let moves = self.reach.moves(now, us, &looked);
+        let others = looked.iter().any(|b| {
+            let zone = self.view.blocks.get(&b.id).map(|b| &b.record.zone);
+            let serves = |zone: &String| self.reach.serves(now, us, b.holder, zone);
+            b.holder != us && b.machines > 0 && zone.is_some_and(serves)
+        });
+        let mut loads = self.loads();
+        for found in moves {
+            let Some(block) = self.view.blocks.get(&found.block).cloned() else {
+                continue;
+            };
+            let (zone, from) = (block.record.zone, block.record.holder);
+            let holder = self.best_holder(&zone, &loads, Some(&from));
+            let Some(holder) = holder else { continue };
+            if self.lease_block(found.block, block.version, zone.clone(), &holder) {
+                log::info!("block {}: {}", found.block, found.why);
+                let size = self.view.count_in(&found.block) + 1;
+                *loads.entry(holder).or_default() += size;
+                self.reach.moved(now, &from, &zone, found.deaf);
+            }
+        }
+        if self.reach.should_resign(now, others) {
+            self.resign();
+        }
+    }
+
+    fn resign(&mut self) {
+        let Some(lead) = self.leader_cond() else {
+            return;
+        };
+        let key = lead.key.clone();
+        let txn = Txn {
+            conds: vec![lead],
+            changes: vec![Change::Delete { key }],
+        };
+        if self.duty(Duty::Resign, txn, Urgency::Safety) {
+            self.reach.resigned(self.now);
+            log::info!("we reach no workers and leave the lead to others");
+        }
+    }
+
+    /// Whether we leave the lead to others, of whom nobody has had the time to
+    /// take it.
+    pub(crate) fn is_modest(&mut self) -> bool {
+        if self.view.leader.is_some() {
+            self.leaderless_since = None;
+            return false;
+        }
+        let since = *self.leaderless_since.get_or_insert(self.now);
+        self.reach.is_beyond() && self.view.members.len() > 1 && self.now < since + MODEST
+    }
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -128,6 +128,7 @@
             && machine.taken_at.is_none()
             && !machine.faulty()
             && !self.draining.contains(name)
+            && !self.reach.is_deaf(machine.block)
             && machine.silent(self.now) < self.silence_limit()
             && machine
                 .refused_at
--- /dev/null
+++ b/crates/core/src/reach.rs
@@ -0,0 +1,855 @@
+//! What is known about the links between controllers and workers, and which
+//! blocks would be better off with somebody else.
+//!
+//! A controller can be cut from its workers while it goes on reaching the state
+//! service: it keeps its lease, its workers go to the others, are sent back, and
+//! lose their leases with all that is on them. Nobody sees the whole of it: the
+//! holder hears nothing, which a dead zone looks like as well, and the others
+//! see workers that are not theirs. Both together are proof enough to lease the
+//! block away; so are workers alone that come again after they were sent back.
+//!
+//! Evidence, and what it is worth:
+//!
+//! - *Deaf:* the holder of a block has heard none of its workers for longer than
+//!   chance explains. Nothing new goes there. Without strays nothing moves: the
+//!   workers may have gone with their zone.
+//! - *Stray:* a worker came to somebody else although its holder is up and holds
+//!   it for long enough to have been found. One means little: its connection may
+//!   have been reset.
+//! - A worker that strays *again* was sent back and got no answer, whatever its
+//!   holder says to have heard.
+//!
+//! Whoever has lost blocks in a zone because it was deaf there asks machines of
+//! that zone by itself, and gets blocks there again once some have answered.
+//! What is shunned for strays alone is shunned for longer each time, and there
+//! is a bound on moves in a minute, so that a link that comes and goes moves
+//! nothing back and forth.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use oliveshift_wire::{
+    peer::{ReachWord, StrayWord},
+    worker::Report,
+};
+
+use crate::{
+    call::ConnId,
+    records::{BlockId, Term},
+};
+
+/// How often blocks are looked at.
+const LOOK: Duration = Duration::from_millis(250);
+/// Whoever did not look for so long has not listened.
+const STALLED: Duration = Duration::from_millis(1000);
+/// For how long a stray counts.
+const MEMORY: Duration = Duration::from_secs(16);
+/// Strays of a block at first sight count together within this time.
+const TOGETHER: Duration = Duration::from_secs(7);
+/// A worker that comes within this time has not been sent back in between.
+const APART: Duration = Duration::from_secs(1);
+/// How many strays of a block are told and needed at most.
+const ENOUGH: usize = 3;
+const MOST_TOLD: usize = 8;
+/// A report of a stray waits so long for its block to be leased.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(1800);
+/// For how long a word of a peer counts.
+const FRESH: Duration = Duration::from_secs(3);
+/// How often a peer is told that there is trouble, and the leader of news.
+const TELL: Duration = Duration::from_secs(1);
+const NEWS: Duration = Duration::from_millis(100);
+/// Whoever has taken a block is found by its workers within this time beyond
+/// their reports.
+const FOUND: Duration = Duration::from_secs(5);
+/// For how long a controller gets no blocks of a zone for strays alone; doubled
+/// each time.
+const SHUNNED: Duration = Duration::from_secs(20);
+const MOST_DOUBLED: u32 = 4;
+/// The lead is left to others once in this time at most.
+const RESIGN: Duration = Duration::from_secs(30);
+/// How often machines are asked whether they can be reached again, how many at
+/// a time, how many have to answer and for how long an answer counts.
+const ASK: Duration = Duration::from_secs(2);
+const ASKED: usize = 4;
+const ANSWERS: usize = 2;
+const ANSWERED: Duration = Duration::from_secs(6);
+
+/// A worker that came to us although somebody else holds it.
+#[derive(Clone, Debug, PartialEq)]
+struct Stray {
+    block: BlockId,
+    term: Term,
+    /// Its holder had time to be found.
+    settled: bool,
+    times: u32,
+    at: Duration,
+}
+
+/// A block that we hold.
+#[derive(Debug)]
+struct Hearing {
+    zone: String,
+    machines: usize,
+    /// When a worker of it was heard last.
+    heard: Duration,
+    deaf: bool,
+}
+
+/// A zone that we are deaf in.
+#[derive(Debug, Default)]
+struct Deaf {
+    asked_at: Duration,
+    /// Machines that have answered, and when.
+    answers: BTreeMap<String, Duration>,
+}
+
+impl Deaf {
+    /// Whether too few machines there have answered us.
+    fn is_out(&self) -> bool {
+        self.answers.len() < ANSWERS
+    }
+}
+
+/// A block as the leader looks at it.
+#[derive(Clone, Debug)]
+pub(crate) struct Looked<'a> {
+    pub id: BlockId,
+    pub term: Term,
+    pub holder: &'a str,
+    pub machines: usize,
+}
+
+/// A block that is to be leased to somebody else, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Move {
+    pub block: BlockId,
+    /// Its holder says itself that it hears none of them.
+    pub deaf: bool,
+    /// What is known, for the log.
+    pub why: String,
+}
+
+/// For how long so many workers may all be silent by chance. They report a
+/// quarter earlier or later than they should, at first all together.
+fn explained(period: Duration, machines: usize) -> Duration {
+    let by_chance = period * 8 / machines.max(1) as u32;
+    by_chance.clamp(period * 17 / 20, period * 7 / 5)
+}
+
+/// The one owner of what is known about links.
+#[derive(Debug)]
+pub(crate) struct Reach {
+    /// The time between two reports.
+    period: Duration,
+    strays: BTreeMap<String, Stray>,
+    blocks: BTreeMap<BlockId, Hearing>,
+    zones: BTreeMap<String, Deaf>,
+    words: BTreeMap<String, (Duration, ReachWord)>,
+    waiting: Vec<(ConnId, Report, Duration)>,
+    looked_at: Duration,
+    told_at: Duration,
+    /// Something is new since then, and there was something to tell then.
+    news: bool,
+    told: bool,
+    /// Since when each block is leased as it is, by its term.
+    leased: BTreeMap<BlockId, (Term, Duration)>,
+    /// Until when a controller gets no blocks of a zone, and how often that
+    /// was.
+    shunned: BTreeMap<(String, String), (Duration, u32)>,
+    moved: VecDeque<Duration>,
+    resigned_at: Option<Duration>,
+}
+
+impl Reach {
+    /// For workers that report so often.
+    pub fn new(period: Duration) -> Self {
+        Self {
+            period,
+            strays: BTreeMap::new(),
+            blocks: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            words: BTreeMap::new(),
+            waiting: Vec::new(),
+            looked_at: Duration::ZERO,
+            told_at: Duration::ZERO,
+            news: false,
+            told: false,
+            leased: BTreeMap::new(),
+            shunned: BTreeMap::new(),
+            moved: VecDeque::new(),
+            resigned_at: None,
+        }
+    }
+
+    /// A block has been leased, to whomever.
+    pub fn leased(&mut self, now: Duration, block: BlockId, term: Term) {
+        let (known, since) = self.leased.entry(block).or_insert((term, now));
+        if *known != term {
+            (*known, *since) = (term, now);
+        }
+    }
+
+    /// Whether the holder of a block has had it for long enough to be found by
+    /// its workers.
+    fn is_settled(&self, now: Duration, block: BlockId) -> bool {
+        let found = self.period * 3 / 2 + Duration::from_secs(2);
+        let leased = self.leased.get(&block);
+        leased.is_some_and(|(_, since)| now > *since + found)
+    }
+
+    /// A worker came that another controller holds, which is up. Whether its
+    /// report should wait for the block to be leased anew: the holder says that
+    /// it hears nobody, others of the block have come as well, or it has come
+    /// again.
+    ///
+    /// One that does not know the term yet is on its way to its holder: it has
+    /// just come up, and was sent there by whoever registered it.
+    pub fn strayed(&mut self, now: Duration, report: &Report, block: BlockId, term: Term) -> bool {
+        let machine = &report.machine;
+        let knows = report.token == term;
+        let settled = knows && self.is_settled(now, block);
+        let fresh = Stray {
+            block,
+            term,
+            settled,
+            times: 0,
+            at: now,
+        };
+        let stray = self.strays.entry(machine.clone()).or_insert(fresh);
+        if stray.term != term || now > stray.at + MEMORY {
+            (stray.block, stray.term) = (block, term);
+            (stray.settled, stray.times) = (settled, 0);
+        }
+        if stray.times == 0 || now > stray.at + APART {
+            stray.times += 1;
+            self.news = true;
+        }
+        stray.at = now;
+        stray.settled |= settled;
+        let again = knows && stray.times > 1;
+        let settled = stray.settled;
+        let others = self.strays.iter().filter(|(name, s)| {
+            *name != machine && s.term == term && s.settled && now < s.at + TOGETHER
+        });
+        again || (settled && (others.count() > 0 || self.nobody_hears(block)))
+    }
+
+    /// Keeps a report until its block is leased anew.
+    pub fn wait(&mut self, now: Duration, conn: ConnId, report: Report) {
+        self.waiting.push((conn, report, now + PATIENCE));
+    }
+
+    /// The reports whose block has been leased anew, or that have waited for
+    /// long enough. `moved` tells whether a machine is held under another term
+    /// than when it strayed.
+    pub fn waited(
+        &mut self,
+        now: Duration,
+        moved: impl Fn(&str, Term) -> bool,
+    ) -> Vec<(ConnId, Report)> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let strays = &self.strays;
+        let is_over = |(_, report, until): &(ConnId, Report, Duration)| {
+            let term = strays.get(&report.machine).map(|s| s.term);
+            now >= *until || term.is_none_or(|term| moved(&report.machine, term))
+        };
+        let (over, wait): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(is_over);
+        self.waiting = wait;
+        over.into_iter()
+            .map(|(conn, report, _)| (conn, report))
+            .collect()
+    }
+
+    /// A worker of a block that we hold has reported.
+    pub fn heard(&mut self, now: Duration, block: BlockId) {
+        if let Some(hearing) = self.blocks.get_mut(&block) {
+            hearing.heard = hearing.heard.max(now);
+        }
+    }
+
+    /// Whether we hear none of a block's workers.
+    pub fn is_deaf(&self, block: BlockId) -> bool {
+        let hearing = self.blocks.get(&block);
+        hearing.is_some_and(|h| h.deaf && h.machines >= ENOUGH)
+    }
+
+    /// Looks at all blocks that we hold again: zone and number of machines that
+    /// are expected to report. `everywhere` are all zones, `has_machines` tells of
+    /// one whether there are any, whoever holds them.
+    pub fn look(
+        &mut self,
+        now: Duration,
+        everywhere: &[String],
+        held: impl FnOnce() -> BTreeMap<BlockId, (String, usize)>,
+        has_machines: impl Fn(&str) -> bool,
+    ) {
+        if now < self.looked_at + LOOK {
+            return;
+        }
+        let before = std::mem::replace(&mut self.looked_at, now);
+        if now > before + STALLED {
+            // We stood still, and can't tell who was silent meanwhile.
+            let gap = now - before;
+            for hearing in self.blocks.values_mut() {
+                hearing.heard += gap;
+            }
+        }
+        let held = held();
+        for (id, hearing) in &self.blocks {
+            // Lost while deaf: until machines there have answered.
+            if !held.contains_key(id) && hearing.deaf {
+                Self::is_cut(&mut self.zones, &hearing.zone);
+            }
+        }
+        self.blocks.retain(|id, _| held.contains_key(id));
+        for (id, (zone, machines)) in held {
+            let hearing = self.blocks.entry(id).or_insert_with(|| Hearing {
+                zone,
+                machines,
+                heard: now + FOUND,
+                deaf: false,
+            });
+            hearing.machines = machines;
+            let quiet = now.saturating_sub(hearing.heard);
+            let deaf = machines > 0 && quiet > explained(self.period, machines);
+            if deaf != std::mem::replace(&mut hearing.deaf, deaf) {
+                self.news = true;
+                if deaf {
+                    log::info!("block {id}: none of its {machines} workers heard for {quiet:.1?}");
+                }
+            }
+        }
+        for hearing in self.blocks.values().filter(|h| h.deaf) {
+            Self::is_cut(&mut self.zones, &hearing.zone);
+        }
+        // Whoever hears nobody can't tell about zones in which it holds nothing:
+        // it got those of a dead controller, which lost their leases with it.
+        let alone = self.blocks.values().all(|h| h.deaf);
+        if alone && !self.zones.is_empty() {
+            for zone in everywhere {
+                Self::is_cut(&mut self.zones, zone);
+            }
+        }
+        let blocks = &self.blocks;
+        self.zones.retain(|zone, deaf| {
+            deaf.answers.retain(|_, at| now < *at + ANSWERED);
+            let mut here = blocks.values().filter(|h| h.zone == *zone).peekable();
+            if here.peek().is_some() {
+                return here.any(|h| h.deaf);
+            }
+            if !has_machines(zone) {
+                // Nobody is there to be reached.
+                return false;
+            }
+            // As long as we hear nobody elsewhere we go on asking.
+            deaf.is_out() || alone
+        });
+        self.strays.retain(|_, s| now <= s.at + MEMORY);
+        self.words.retain(|_, (at, _)| now < *at + FRESH);
+        let forgotten = SHUNNED * 2u32.pow(MOST_DOUBLED);
+        self.shunned
+            .retain(|_, (until, _)| now < *until + forgotten);
+    }
+
+    fn is_cut(zones: &mut BTreeMap<String, Deaf>, zone: &str) {
+        if !zones.contains_key(zone) {
+            zones.insert(zone.to_owned(), Deaf::default());
+        }
+    }
+
+    /// The machines to ask now whether they can be reached, out of those of a
+    /// zone. Only zones are asked in which we hold nothing: elsewhere reports
+    /// tell.
+    pub fn questions<'a, I: Iterator<Item = &'a str>>(
+        &mut self,
+        now: Duration,
+        machines: impl Fn(&str) -> I,
+        mut draw: impl FnMut(usize) -> usize,
+    ) -> Vec<&'a str> {
+        let mut ask = Vec::new();
+        for (zone, deaf) in &mut self.zones {
+            let held = self.blocks.values().any(|h| h.zone == *zone);
+            if held || now < deaf.asked_at + ASK {
+                continue;
+            }
+            deaf.asked_at = now;
+            let mut names: Vec<_> = machines(zone).collect();
+            for _ in 0..ASKED.min(names.len()) {
+                ask.push(names.swap_remove(draw(names.len())));
+            }
+        }
+        ask
+    }
+
+    /// A machine of a zone has answered.
+    pub fn answered(&mut self, now: Duration, zone: &str, machine: &str) {
+        if let Some(deaf) = self.zones.get_mut(zone) {
+            let was_out = deaf.is_out();
+            deaf.answers.insert(machine.to_owned(), now);
+            if was_out && !deaf.is_out() {
+                log::info!("{zone}: its machines can be reached");
+            }
+        }
+    }
+
+    /// What a peer says.
+    pub fn hear(&mut self, now: Duration, word: ReachWord) {
+        self.words.insert(word.from.clone(), (now, word));
+    }
+
+    /// What is to be told, in the words of whoever we are; none if there is
+    /// nothing, or nothing yet.
+    pub fn tell(&mut self, now: Duration, from: &str, incarnation: u64) -> Option<ReachWord> {
+        let wait = if self.news { NEWS } else { TELL };
+        if now < self.told_at + wait {
+            return None;
+        }
+        let deaf = self
+            .blocks
+            .iter()
+            .filter(|(_, h)| h.deaf)
+            .map(|(id, _)| *id);
+        let word = ReachWord {
+            from: from.to_owned(),
+            incarnation,
+            deaf: deaf.collect(),
+            zones: self.out().cloned().collect(),
+            strays: self.strays_told(now),
+        };
+        let some = !word.deaf.is_empty() || !word.zones.is_empty() || !word.strays.is_empty();
+        // The last word is that all is well again.
+        let due = some || self.told;
+        self.news = false;
+        self.told = some;
+        due.then(|| {
+            self.told_at = now;
+            word
+        })
+    }
+
+    /// The zones whose machines we don't reach.
+    fn out(&self) -> impl Iterator<Item = &String> {
+        let out = self.zones.iter().filter(|(_, deaf)| deaf.is_out());
+        out.map(|(zone, _)| zone)
+    }
+
+    /// Some strays of each block, those that came again first.
+    fn strays_told(&self, now: Duration) -> Vec<StrayWord> {
+        let mut told: Vec<_> = self
+            .strays
+            .iter()
+            .filter(|(_, s)| s.settled || s.times > 1)
+            .map(|(machine, s)| StrayWord {
+                machine: machine.clone(),
+                block: s.block,
+                term: s.term,
+                settled: s.settled,
+                times: s.times,
+                ago_ms: now.saturating_sub(s.at).as_millis() as u64,
+            })
+            .collect();
+        told.sort_by_key(|s| (s.block, std::cmp::Reverse(s.times), s.ago_ms));
+        let mut count = (0, 0);
+        told.retain(|s| {
+            count = match count {
+                (block, n) if block == s.block => (block, n + 1),
+                _ => (s.block, 1),
+            };
+            count.1 <= MOST_TOLD
+        });
+        told
+    }
+
+    /// All strays that are known of: by us and by those who told us.
+    fn all_strays(&self, now: Duration) -> Vec<StrayWord> {
+        let mut all = self.strays_told(now);
+        for (at, word) in self.words.values() {
+            let since = now.saturating_sub(*at).as_millis() as u64;
+            all.extend(word.strays.iter().cloned().map(|s| StrayWord {
+                ago_ms: s.ago_ms + since,
+                ..s
+            }));
+        }
+        all
+    }
+
+    /// Whether a controller, by its own word and by what was seen of it, can
+    /// serve workers of a zone. `us` is our name.
+    pub fn serves(&self, now: Duration, us: &str, node: &str, zone: &str) -> bool {
+        let by_word = match node == us {
+            true => self.zones.get(zone).is_some_and(Deaf::is_out),
+            false => {
+                let word = self.words.get(node);
+                word.is_some_and(|(_, w)| w.zones.iter().any(|z| z == zone))
+            }
+        };
+        let shunned = self.shunned.get(&(node.to_owned(), zone.to_owned()));
+        !by_word && shunned.is_none_or(|(until, _)| now >= *until)
+    }
+
+    /// Whether the holder of a block, by its own word, hears none of its workers.
+    pub fn nobody_hears(&self, block: BlockId) -> bool {
+        let mut words = self.words.values();
+        self.is_deaf(block) || words.any(|(_, w)| w.deaf.contains(&block))
+    }
+
+    /// The leader's question: which blocks have a holder that their workers do
+    /// not reach.
+    pub fn moves(&mut self, now: Duration, us: &str, blocks: &[Looked]) -> Vec<Move> {
+        let strays = self.all_strays(now);
+        if strays.is_empty() {
+            return Vec::new();
+        }
+        let minute = Duration::from_secs(60);
+        while self.moved.front().is_some_and(|at| now > *at + minute) {
+            self.moved.pop_front();
+        }
+        let mut moves = Vec::new();
+        for block in blocks {
+            if self.moved.len() >= 2 * blocks.len() {
+                break;
+            }
+            let of = strays
+                .iter()
+                .filter(|s| (s.block, s.term) == (block.id, block.term));
+            let mut times: BTreeMap<&str, u32> = BTreeMap::new();
+            let mut lately = BTreeSet::new();
+            for stray in of {
+                *times.entry(&stray.machine).or_default() += stray.times;
+                if stray.settled && stray.ago_ms < TOGETHER.as_millis() as u64 {
+                    lately.insert(&stray.machine);
+                }
+            }
+            let again = times.values().filter(|n| **n > 1).count();
+            let need = ENOUGH.min(block.machines.div_ceil(2)).max(1);
+            let deaf = match block.holder == us {
+                true => self.blocks.get(&block.id).is_some_and(|h| h.deaf),
+                false => {
+                    let word = self.words.get(block.holder);
+                    word.is_some_and(|(_, w)| w.deaf.contains(&block.id))
+                }
+            };
+            let without = again >= need.max((block.machines / 5).min(MOST_TOLD));
+            if !(deaf && lately.len().max(again) >= need || without) {
+                continue;
+            }
+            let heard = if deaf {
+                "hears none of them"
+            } else {
+                "may hear them"
+            };
+            moves.push(Move {
+                block: block.id,
+                deaf,
+                why: format!(
+                    "of {} workers {} came to others, {again} again, {} {heard}",
+                    block.machines,
+                    times.len(),
+                    block.holder
+                ),
+            });
+        }
+        moves
+    }
+
+    /// A block is leased away from a holder for that.
+    pub fn moved(&mut self, now: Duration, holder: &str, zone: &str, deaf: bool) {
+        self.moved.push_back(now);
+        if deaf {
+            // It says itself when it can be reached again.
+            return;
+        }
+        let key = (holder.to_owned(), zone.to_owned());
+        let (until, times) = self.shunned.entry(key).or_default();
+        if now >= *until {
+            *until = now + SHUNNED * 2u32.pow(*times);
+            *times = (*times + 1).min(MOST_DOUBLED);
+        }
+    }
+
+    /// Whether we reach no workers anywhere any more, and all blocks that we had have
+    /// gone to others.
+    pub fn is_beyond(&self) -> bool {
+        let all = !self.zones.is_empty() && self.zones.values().all(Deaf::is_out);
+        all && self.blocks.is_empty()
+    }
+
+    /// Whether whoever leads should leave the lead to others now. `others` tells
+    /// whether somebody else holds machines, and reaches them as far as we know.
+    pub fn should_resign(&self, now: Duration, others: bool) -> bool {
+        let lately = self.resigned_at.is_some_and(|at| now < at + RESIGN);
+        self.is_beyond() && !lately && others
+    }
+
+    /// We have left the lead to others.
+    pub fn resigned(&mut self, now: Duration) {
+        self.resigned_at = Some(now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PERIOD: Duration = Duration::from_secs(6);
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn report(machine: usize, token: Term) -> Report {
+        let text = format!(
+            r#"{{"host":"vm-{machine}","endpoint":"10.1.0.1:9","flavor":"s","site":"a",
+            "reclaimable":false,"tenure":1,"tick":1,"epoch":{token},"warning_s":null,
+            "shards":[]}}"#
+        );
+        serde_json::from_str(&text).expect("a report")
+    }
+
+    /// The leader, `n-0`, with block 1 held by `n-1` under term 7 for long.
+    fn leader() -> Reach {
+        let mut reach = Reach::new(PERIOD);
+        reach.leased(ms(0), 1, 7);
+        reach
+    }
+
+    fn block(machines: usize) -> [Looked<'static>; 1] {
+        [Looked {
+            id: 1,
+            term: 7,
+            holder: "n-1",
+            machines,
+        }]
+    }
+
+    fn word(deaf: Vec<BlockId>) -> ReachWord {
+        ReachWord {
+            from: "n-1".into(),
+            incarnation: 1,
+            deaf,
+            zones: vec!["a".into()],
+            strays: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn strays_of_a_deaf_holder_move_its_block() {
+        let (mut reach, now) = (leader(), ms(60_000));
+        assert!(
+            !reach.strayed(now, &report(1, 7), 1, 7),
+            "the first is sent back"
+        );
+        assert!(
+            reach.strayed(now + ms(50), &report(2, 7), 1, 7),
+            "others have come"
+        );
+        reach.strayed(now + ms(90), &report(3, 7), 1, 7);
+        let now = now + ms(100);
+        assert_eq!(reach.moves(now, "n-0", &block(26)), [], "it may hear them");
+        reach.hear(now, word(vec![1]));
+        let moves = reach.moves(now, "n-0", &block(26));
+        assert_eq!((moves.len(), moves[0].block, moves[0].deaf), (1, 1, true));
+        assert!(!reach.serves(now, "n-0", "n-1", "a"));
+        assert!(reach.serves(now, "n-0", "n-1", "b"));
+        // Once the holder says that it hears somebody, nothing moves any more.
+        reach.hear(now, word(Vec::new()));
+        assert_eq!(reach.moves(now, "n-0", &block(26)), []);
+    }
+
+    #[test]
+    fn strays_at_first_sight_prove_nothing() {
+        let (mut reach, now) = (leader(), ms(60_000));
+        reach.hear(now, word(vec![1]));
+        // New machines are sent to their holder by whoever registers them.
+        for machine in 0..9 {
+            assert!(!reach.strayed(now, &report(machine, 0), 1, 7));
+        }
+        assert_eq!(reach.moves(now, "n-0", &block(26)), []);
+        // A block has just been leased: its workers look for their holder.
+        reach.leased(now, 1, 8);
+        for machine in 0..9 {
+            assert!(!reach.strayed(now, &report(machine, 8), 1, 8));
+        }
+        let young = [Looked {
+            term: 8,
+            ..block(26)[0].clone()
+        }];
+        assert_eq!(reach.moves(now, "n-0", &young), []);
+    }
+
+    /// Reports arrive and answers don't: the holder hears all of them.
+    #[test]
+    fn workers_that_come_again_need_no_word_of_their_holder() {
+        let (mut reach, mut now) = (leader(), ms(60_000));
+        for round in 0..2 {
+            for machine in 0..5 {
+                reach.strayed(now, &report(machine, 7), 1, 7);
+            }
+            let moves = reach.moves(now, "n-0", &block(20));
+            assert_eq!(moves.len(), round, "{moves:?}");
+            now += ms(5500);
+        }
+        // Shunned for longer each time.
+        reach.moved(now, "n-1", "a", false);
+        assert!(!reach.serves(now + ms(19_000), "n-0", "n-1", "a"));
+        assert!(reach.serves(now + ms(21_000), "n-0", "n-1", "a"));
+        now += ms(30_000);
+        reach.moved(now, "n-1", "a", false);
+        assert!(!reach.serves(now + ms(39_000), "n-0", "n-1", "a"));
+    }
+
+    #[test]
+    fn a_zone_that_is_dead_moves_nothing() {
+        let mut reach = Reach::new(PERIOD);
+        let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
+        let mut now = ms(0);
+        let mut deaf_at = None;
+        while now < ms(120_000) {
+            reach.leased(now, 1, 7);
+            if now < ms(30_000) {
+                reach.heard(now, 1);
+            }
+            reach.look(now, &[], held(26), |_| true);
+            if reach.is_deaf(1) {
+                deaf_at = deaf_at.or(Some(now));
+            }
+            let ours = [Looked {
+                holder: "n-0",
+                ..block(26)[0].clone()
+            }];
+            assert_eq!(reach.moves(now, "n-0", &ours), []);
+            assert!(!reach.is_beyond());
+            now += ms(250);
+        }
+        let deaf_at = deaf_at.expect("it is noticed");
+        assert!((ms(35_000)..ms(36_000)).contains(&deaf_at), "{deaf_at:?}");
+        // They are back.
+        reach.heard(now, 1);
+        reach.look(now + ms(250), &[], held(26), |_| true);
+        assert!(!reach.is_deaf(1) && reach.serves(now, "n-0", "n-0", "a"));
+    }
+
+    /// Who stood still has heard nobody meanwhile, and that means nothing.
+    #[test]
+    fn whoever_stood_still_is_not_deaf() {
+        let mut reach = Reach::new(PERIOD);
+        let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
+        for step in 0..40 {
+            reach.look(ms(250 * step), &[], held, |_| true);
+            reach.heard(ms(250 * step), 1);
+        }
+        reach.look(ms(60_000), &[], held, |_| true);
+        assert!(!reach.is_deaf(1));
+    }
+
+    #[test]
+    fn whoever_lost_its_blocks_asks_until_somebody_answers() {
+        let mut reach = Reach::new(PERIOD);
+        let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
+        let names = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
+        let mut now = ms(0);
+        while now < ms(20_000) {
+            reach.look(now, &[], held, |_| true);
+            now += ms(250);
+        }
+        assert!(reach.is_deaf(1) && !reach.is_beyond());
+        assert_eq!(reach.questions(now, |_| names.into_iter(), |_| 0).len(), 0);
+        // Its block goes to somebody else.
+        reach.look(now, &[], BTreeMap::new, |_| true);
+        assert!(reach.is_beyond() && !reach.serves(now, "n-0", "n-0", "a"));
+        // It leaves the lead to others, but not again and again, and to nobody.
+        assert!(!reach.should_resign(now, false) && reach.should_resign(now, true));
+        reach.resigned(now);
+        assert!(!reach.should_resign(now + ms(29_000), true));
+        assert!(reach.should_resign(now + ms(31_000), true));
+        let asked = reach.questions(now, |_| names.into_iter(), |_| 0);
+        assert_eq!(asked.len(), ASKED);
+        assert_eq!(reach.questions(now, |_| names.into_iter(), |_| 0).len(), 0);
+        reach.answered(now, "a", "vm-1");
+        now += ms(250);
+        reach.look(now, &[], BTreeMap::new, |_| true);
+        assert!(reach.is_beyond(), "one is not enough");
+        reach.answered(now, "a", "vm-2");
+        now += ms(250);
+        reach.look(now, &[], BTreeMap::new, |_| true);
+        assert!(!reach.is_beyond() && reach.serves(now, "n-0", "n-0", "a"));
+    }
+
+    /// A controller that was cut from its workers got the blocks of one that died,
+    /// in zones where it had held nothing.
+    #[test]
+    fn whoever_hears_nobody_serves_no_zone_before_somebody_there_answers() {
+        let mut reach = Reach::new(PERIOD);
+        let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
+        let everywhere = ["a".to_owned(), "b".to_owned()];
+        let mut now = ms(0);
+        while now < ms(20_000) {
+            reach.look(now, &everywhere, held, |_| true);
+            now += ms(250);
+        }
+        assert!(!reach.serves(now, "n-0", "n-0", "b"));
+        let names = ["vm-1", "vm-2", "vm-3"];
+        assert_eq!(
+            reach.questions(now, |_| names.into_iter(), |_| 0).len(),
+            3,
+            "of the zone in which it holds nothing"
+        );
+        reach.answered(now, "b", "vm-1");
+        reach.answered(now, "b", "vm-2");
+        reach.heard(now, 1);
+        reach.look(now + ms(250), &everywhere, held, |_| true);
+        assert!(reach.serves(now, "n-0", "n-0", "b"));
+    }
+
+    /// All machines had gone, and controllers left the lead to each other for
+    /// minutes, as nobody was there to answer.
+    #[test]
+    fn where_nobody_is_left_nobody_is_out_of_reach() {
+        let mut reach = Reach::new(PERIOD);
+        let held = || BTreeMap::from([(1, ("a".to_owned(), 2))]);
+        for step in 0..80 {
+            reach.look(ms(250 * step), &[], held, |_| true);
+        }
+        assert!(!reach.serves(ms(20_000), "n-0", "n-0", "a"));
+        reach.look(ms(20_250), &[], BTreeMap::new, |_| false);
+        assert!(!reach.is_beyond() && reach.serves(ms(20_250), "n-0", "n-0", "a"));
+    }
+
+    /// Whatever the links do, so many blocks move in a minute at most.
+    #[test]
+    fn moves_in_a_minute_are_bounded() {
+        let (mut reach, mut rng) = (leader(), fastrand::Rng::with_seed(3));
+        let mut moved = Vec::new();
+        let mut now = ms(60_000);
+        let mut term = 7;
+        while now < ms(400_000) {
+            if rng.bool() {
+                reach.hear(now, word(vec![1]));
+            }
+            for _ in 0..3 {
+                reach.strayed(now, &report(rng.usize(0..9), term), 1, term);
+            }
+            let looked = [Looked {
+                term,
+                ..block(9)[0].clone()
+            }];
+            for found in reach.moves(now, "n-0", &looked) {
+                reach.moved(now, "n-1", "a", found.deaf);
+                moved.push(now);
+                term += 1;
+            }
+            now += ms(700);
+        }
+        let most = moved.iter().map(|at| {
+            let minute = *at..*at + ms(60_000);
+            moved.iter().filter(|m| minute.contains(m)).count()
+        });
+        assert!(moved.len() > 8 && most.max() <= Some(2), "{moved:?}");
+    }
+}
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -67,6 +67,7 @@
             Self::Lead2(Duty::Lease(_)) => "lease",
             Self::Lead2(Duty::Tidy(_)) => "tidy",
             Self::Lead2(Duty::Admit) => "admit",
+            Self::Lead2(Duty::Resign) => "resign",
             Self::Lists => "lists",
             Self::Upgrade(_) => "upgrade",
         }
@@ -149,6 +150,8 @@
     read_pending: bool,
     read_at: Duration,
     failures: u32,
+    /// When we last went on after standing still.
+    woke: Duration,
     /// The lower limits hold.
     pub lowered: bool,
 }
@@ -175,18 +178,30 @@
             read_pending: false,
             read_at: Duration::ZERO,
             failures: 0,
+            woke: Duration::ZERO,
             lowered: false,
         }
     }
 }
 
 impl Controller {
-    /// How old our contact is; none: never had.
+    /// How old our contact is; none: never had, or not since we stood still.
     pub(crate) fn contact_age(&self) -> Option<Duration> {
-        let contact = self.store.contact?;
+        let contact = self.store.contact.filter(|at| *at >= self.store.woke)?;
         Some(self.now.saturating_sub(contact))
     }
 
+    /// We took nothing in for so long that our leases may be over, while our
+    /// clock ran on: what was true then has to be proven anew before we answer
+    /// or order anything. Without it a controller that woke up within the contact
+    /// limit went on under terms that were others' by then.
+    pub(crate) fn stood_still(&mut self, now: Duration) {
+        if self.store.ready {
+            log::info!("stood still for {:.1?}", now.saturating_sub(self.now));
+        }
+        self.store.woke = now;
+    }
+
     /// Whether our view is recent enough to act for the controllers towards
     /// workers. Beyond that we might have missed a cancellation, or that a
     /// block was leased anew, for longer than `cancel_s` allows.
@@ -356,7 +371,10 @@
     /// Takes the lead when nobody has it, or when it belongs to an earlier
     /// incarnation of this very controller, which is surely gone.
     fn seek_leadership(&mut self) {
-        let Some(hold) = self.store.hold else { return };
+        let modest = self.is_modest();
+        let Some(hold) = self.store.hold.filter(|_| !modest) else {
+            return;
+        };
         let waits = self.store.lead_pending || self.view.revision < self.store.session_at;
         if waits || !self.in_contact() || self.is_founding() {
             return;
@@ -580,8 +598,9 @@
 
     /// Reads on for those who wait for an answer no older than their request.
     pub(crate) fn read_for_asks(&mut self) {
+        let doubts = self.store.contact.is_none_or(|at| at < self.store.woke);
         if self.store.read_pending
-            || self.admission.asks.is_empty()
+            || (self.admission.asks.is_empty() && !doubts)
             || self.now < self.store.read_at
             || !self.store.ready
             || !self
@@ -689,3 +708,54 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use oliveshift_wire::{encode, settings::Settings, state::Events};
+
+    use crate::{Controller, Input, Now, Output, Reply};
+
+    /// Its block may be another's by then, and a cancellation may have been
+    /// missed: within the contact limit a controller that woke up answered its
+    /// workers all the same.
+    #[test]
+    fn whoever_stood_still_acts_only_after_new_contact() {
+        let settings = r#"{"member":"n-0","site":"a","bind":"10.0.0.1:80",
+            "internal_addr":"10.0.0.1:81","members":[],
+            "outside":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
+            "deployment":{"zones":["a"],"teams":[],
+            "workers":{"report_s":2,"lease_s":12,"cancel_s":30},
+            "state":{"rps":100,"write_rps":50,"value_kb":16,"txn_ops":20},
+            "cloud":{"rps":6,"list_lag_s":3},"limits":{"max_sockets":100}}}"#;
+        let mut controller = Controller::new(Settings::parse(settings).expect("settings"), 1);
+        let now = |ms| Now {
+            steady: Duration::from_millis(ms),
+            day: Duration::from_millis(1_800_000_000_000 + ms),
+        };
+        controller.store.ready = true;
+        controller.store.contact = Some(now(1000).steady);
+        for ms in [1000, 2000, 3000] {
+            controller.handle(now(ms), Input::Tick);
+            assert!(controller.may_act(), "{ms}");
+        }
+        let outputs = controller.handle(now(9000), Input::Tick);
+        assert!(controller.settings.contact_limit() > Duration::from_secs(8));
+        assert!(!controller.may_act() && !controller.in_contact());
+        // It asks at once, and does not wait for something to change.
+        let read = outputs.iter().find_map(|output| match output {
+            Output::Call(call) => (call.path.starts_with("/changes")
+                && !call.path.contains("block_ms"))
+            .then_some(call.id),
+            _ => None,
+        });
+        let body = encode(&Events {
+            revision: 5,
+            events: Vec::new(),
+        });
+        let reply = Reply::Answer { status: 200, body };
+        controller.handle(now(9010), Input::Reply(read.expect("a read"), reply));
+        assert!(controller.may_act() && controller.in_contact());
+    }
+}
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -416,6 +416,45 @@
     faults
 }
 
+/// Draws a day with what the operators' on-call people met, two or three at a
+/// time on top of quick restarts: a controller stands still for seconds while its
+/// clocks run on, one is gone for a minute or more, one reaches its workers and
+/// not the state service or the reverse, one is turned away alone.
+pub fn draw_troubles(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw_quick(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6f6e_6361);
+    let ms = Duration::from_millis;
+    let last = end.as_millis() as u64 - 15_000;
+    for _ in 0..rng.usize(2..5) {
+        let node = rng.usize(0..nodes);
+        let from = ms(rng.u64(15_000..last));
+        let for_a_while = from + ms(rng.u64(5_000..50_000));
+        let until = for_a_while.min(end);
+        faults.push(match rng.u32(0..8) {
+            // Below, about and beyond the leases of controllers and workers.
+            0..3 => Fault::Frozen {
+                node,
+                from,
+                until: (from + ms(rng.u64(1_000..40_000))).min(end),
+            },
+            3 => Fault::Ends {
+                node,
+                at: from,
+                back: ms(rng.u64(60_000..90_000)),
+            },
+            4 | 5 => Fault::CutWorkers {
+                node: Some(node),
+                rest: None,
+                from,
+                until,
+            },
+            6 => Fault::Refused { node, from, until },
+            _ => Fault::CutState { node, from, until },
+        });
+    }
+    faults
+}
+
 /// How long a controller takes to come back.
 pub const RESTART: Duration = Duration::from_secs(5);
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod worker;
 pub mod world;
 
-pub use faults::{Fault, draw, draw_behind, draw_quick, draw_roll, draw_slow};
+pub use faults::{Fault, draw, draw_behind, draw_quick, draw_roll, draw_slow, draw_troubles};
 pub use guest::{Guest, GuestAsk, Wish};
 pub use rules::{Broken, Rules};
 pub use state::{Done, Limits as StateLimits, State};
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -60,6 +60,8 @@
     pub done: BTreeSet<TaskId>,
     /// What was broken, and when.
     pub broken: Vec<(Duration, Broken, String)>,
+    /// Tasks that ended with their machine or with the lease of their worker.
+    pub lost: usize,
     /// Tasks started.
     pub started: u64,
     /// Which, and when.
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -278,6 +278,8 @@
 
     /// All its tasks are gone.
     pub fn die(&mut self, rules: &mut Rules) {
+        let on = self.tasks.values();
+        rules.lost += on.filter(|s| !matches!(s, Stage::Exited(_))).count();
         for (task, _) in self.tasks.keys() {
             rules.leaves(task, &self.name);
         }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -45,6 +45,8 @@
     pub broken: Vec<(Duration, Broken, String)>,
     /// Accepted jobs that should have ended and did not.
     pub open: Vec<JobId>,
+    /// Tasks that ended with their machine or with the lease of their worker.
+    pub lost: usize,
     /// Tasks started.
     pub started: u64,
     /// Which, and when.
@@ -620,6 +622,7 @@
             ended: std::mem::take(&mut self.rules.ended),
             machines: self.most_machines,
             open: self.rules.open(),
+            lost: self.rules.lost,
             started: self.rules.started,
             starts: self.rules.starts,
             jobs: self.rules.jobs,
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -6,6 +6,7 @@
 use oliveshift_core::Sabotage;
 use oliveshift_testkit::{
     Broken, Fault, Outcome, Size, World, draw, draw_behind, draw_quick, draw_roll, draw_slow,
+    draw_troubles,
 };
 
 const S: Duration = Duration::from_secs(1);
@@ -260,6 +261,14 @@
     }
 }
 
+/// What the operators' on-call people met, several at a time.
+#[test]
+fn drawn_days_with_troubles() {
+    for seed in 500..540 {
+        good(seed, draw_troubles(seed, 3, S * 180));
+    }
+}
+
 /// A failure always comes back: the same seed is the same day.
 #[test]
 fn a_seed_gives_the_same_day_each_time() {
@@ -300,6 +309,18 @@
     });
 }
 
+/// The same search with what the on-call people met.
+#[test]
+#[ignore = "takes minutes"]
+fn many_drawn_days_with_troubles() {
+    side_by_side(3000..3600, |seed| {
+        good(seed, draw_troubles(seed, 3, S * 180));
+    });
+    side_by_side(0..24, |seed| {
+        grown(seed, draw_troubles(seed, 3, S * 140), S * 400);
+    });
+}
+
 /// A longer search for broken rules, run by hand after larger changes.
 #[test]
 #[ignore = "takes minutes"]
@@ -362,6 +383,64 @@
     }
 }
 
+/// Cuts two controllers from all their workers, one after the other or at once.
+fn cut_from_workers(seed: u64, at_once: bool, sabotage: Option<Sabotage>) -> Outcome {
+    let cut = |node: usize, from| Fault::CutWorkers {
+        node: Some(node % 3),
+        rest: None,
+        from: S * from,
+        until: S * (from + 40),
+    };
+    let node = seed as usize;
+    let second = if at_once { 41 } else { 100 };
+    let faults = vec![cut(node, 40), cut(node + 1, second)];
+    day(seed, faults, sabotage)
+}
+
+/// Their workers lost their leases, or were given up as silent, and all tasks
+/// with them, though the others reached them all the while.
+#[test]
+fn a_cut_from_the_workers_alone_costs_no_task() {
+    for seed in 80..90 {
+        let outcome = cut_from_workers(seed, false, None);
+        assert_eq!((outcome.broken, outcome.open), (vec![], vec![]), "{seed}");
+        assert_eq!(outcome.lost, 0, "seed {seed}");
+        // A worker that tries both first comes too late for its lease.
+        let outcome = cut_from_workers(seed, true, None);
+        assert_eq!((outcome.broken, outcome.open), (vec![], vec![]), "{seed}");
+    }
+}
+
+/// The blocks of a controller that died went to one that was cut from all
+/// workers, in zones where that one had held nothing and so knew nothing.
+#[test]
+fn what_a_dead_controller_held_goes_where_workers_are_reached() {
+    let lost = [80, 81].map(|seed: u64| {
+        let node = seed as usize;
+        let cut = Fault::CutWorkers {
+            node: Some(node % 3),
+            rest: None,
+            from: S * 40,
+            until: S * 120,
+        };
+        let dead = Fault::Ends {
+            node: (node + 1) % 3,
+            at: S * 62,
+            back: S * 50,
+        };
+        grown(seed, vec![cut, dead], S * 400).lost
+    });
+    // 17 that way; some workers come round too late whatever is known.
+    assert!(lost.iter().sum::<usize>() < 6, "{lost:?}");
+}
+
+#[test]
+fn knowing_nothing_of_links_is_caught() {
+    let lost = |seed| cut_from_workers(seed, false, Some(Sabotage::NoReach)).lost;
+    let lost: Vec<_> = (80..90).map(lost).collect();
+    assert!(lost.iter().sum::<usize>() > 15, "{lost:?}");
+}
+
 #[test]
 fn messages_held_back_for_minutes() {
     let (from, until) = (S * 30, S * 160);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -57,6 +57,39 @@
     pub tasks: Vec<TaskId>,
 }
 
+/// What a controller tells the others about links to workers, only while there
+/// is something to tell. An older program knows no such message.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ReachWord {
+    /// Who speaks.
+    pub from: String,
+    /// In which incarnation.
+    pub incarnation: u64,
+    /// Blocks that it holds and whose workers it does not hear.
+    pub deaf: Vec<u32>,
+    /// Zones whose workers it does not reach.
+    pub zones: Vec<String>,
+    /// Workers that came to it although others hold them.
+    pub strays: Vec<StrayWord>,
+}
+
+/// A worker that came to somebody who does not hold it.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct StrayWord {
+    /// Its machine.
+    pub machine: String,
+    /// Its block.
+    pub block: u32,
+    /// The term under which somebody else holds it.
+    pub term: u64,
+    /// That one had had time to be found.
+    pub settled: bool,
+    /// How often it came, after it was sent back each time.
+    pub times: u32,
+    /// How long ago it came last.
+    pub ago_ms: u64,
+}
+
 /// The answer to the question after a controller's level, from the second
 /// level on. Unlike the messages above it keeps its form for ever.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/crates/xtask/src/regress.rs
+++ b/crates/xtask/src/regress.rs
@@ -17,8 +17,8 @@
 const NOISE: f64 = 0.03;
 /// The sites, below the kit.
 const SITES: [&str; 6] = [
-    "next/atlas-herbaria-rabat-grown.toml",
-    "next/gempa-nusantara-ops-grown.toml",
+    "more/atlas-herbaria-rabat-ops.toml",
+    "more/gempa-nusantara-ops-ops.toml",
     "change/atlas-herbaria-rabat-next.toml",
     "change/gempa-nusantara-ops-next.toml",
     "more/fleet/atlas-herbaria-rabat-fleet.toml",
@@ -407,7 +407,7 @@
         let site = kit.join(SITES[0]);
         std::fs::create_dir_all(site.parent().expect("a folder")).expect("a temporary folder");
         std::fs::write(&site, "").expect("a file");
-        let found = sites(&kit, Some("rabat-grown"));
+        let found = sites(&kit, Some("rabat-ops"));
         let missing = sites(&kit, None).expect_err("the others are missing");
         let unknown = sites(&kit, Some("nowhere")).expect_err("no such site");
         std::fs::remove_dir_all(&kit).expect("it can be removed");
