Reach: what a peer said of its zones outlasts its word; suspects come last

Words were forgotten after 3 s, so the leader leased blocks back to those two; and for the 2 s until all its blocks were deaf one counted as reaching zones in which it held nothing (replay at info). Change: zones that a peer did not reach count until it says otherwise, restarts, or 60 s have gone; that all is well is told five times; whoever has heard nobody of all its workers for longer than chance explains is cut everywhere; of those that can serve a zone, controllers out of reach of some other come last.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -333,7 +333,11 @@
         };
         members
             .filter(|(name, _)| fits(name))
-            .min_by_key(|(name, m)| (!serves(name), m.record.zone != zone, load(name), *name))
+            .min_by_key(|(name, m)| {
+                let suspect = self.reach.is_suspect(us, name);
+                let far = m.record.zone != zone;
+                (!serves(name), suspect, far, load(name), *name)
+            })
             .map(|(name, _)| name.clone())
     }
 
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -76,6 +76,9 @@
             return;
         }
         self.strays_answered();
+        let members = &self.view.members;
+        self.reach
+            .restarted(|node| members.get(node).map(|m| m.record.incarnation));
         let machines = &self.view.machines;
         let held = || {
             let mut held: BTreeMap<BlockId, (String, usize)> = BTreeMap::new();
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -60,6 +60,10 @@
 /// How often a peer is told that there is trouble, and the leader of news.
 const TELL: Duration = Duration::from_secs(1);
 const NEWS: Duration = Duration::from_millis(100);
+/// How often it is told that all is well again, as a word may be lost.
+const FAREWELLS: u8 = 5;
+/// For how long it counts that a peer did not reach a zone when it spoke last.
+const LASTING: Duration = Duration::from_secs(60);
 /// Whoever has taken a block is found by its workers within this time beyond
 /// their reports.
 const FOUND: Duration = Duration::from_secs(5);
@@ -147,12 +151,16 @@
     blocks: BTreeMap<BlockId, Hearing>,
     zones: BTreeMap<String, Deaf>,
     words: BTreeMap<String, (Duration, ReachWord)>,
+    /// Zones that a peer said last it does not reach, with its incarnation. This
+    /// outlasts the word, as a peer that is cut off further can't say it again.
+    unreached: BTreeMap<String, (Duration, u64, Vec<String>)>,
     waiting: Vec<(ConnId, Report, Duration)>,
     looked_at: Duration,
     told_at: Duration,
-    /// Something is new since then, and there was something to tell then.
+    /// Something is new since then.
     news: bool,
-    told: bool,
+    /// How often it remains to be told that all is well.
+    untold: u8,
     /// Since when each block is leased as it is, by its term.
     leased: BTreeMap<BlockId, (Term, Duration)>,
     /// Until when a controller gets no blocks of a zone, and how often that
@@ -171,11 +179,12 @@
             blocks: BTreeMap::new(),
             zones: BTreeMap::new(),
             words: BTreeMap::new(),
+            unreached: BTreeMap::new(),
             waiting: Vec::new(),
             looked_at: Duration::ZERO,
             told_at: Duration::ZERO,
             news: false,
-            told: false,
+            untold: 0,
             leased: BTreeMap::new(),
             shunned: BTreeMap::new(),
             moved: VecDeque::new(),
@@ -330,8 +339,12 @@
         }
         // Whoever hears nobody can't tell about zones in which it holds nothing:
         // it got those of a dead controller, which lost their leases with it.
-        let alone = self.blocks.values().all(|h| h.deaf);
-        if alone && !self.zones.is_empty() {
+        let machines = self.blocks.values().map(|h| h.machines).sum();
+        let last = self.blocks.values().map(|h| h.heard).max();
+        let quiet = last.is_some_and(|at| now > at + explained(self.period, machines));
+        let all = !self.zones.is_empty() && self.blocks.values().all(|h| h.deaf);
+        let alone = all || (machines > 0 && quiet);
+        if alone {
             for zone in everywhere {
                 Self::is_cut(&mut self.zones, zone);
             }
@@ -341,7 +354,7 @@
             deaf.answers.retain(|_, at| now < *at + ANSWERED);
             let mut here = blocks.values().filter(|h| h.zone == *zone).peekable();
             if here.peek().is_some() {
-                return here.any(|h| h.deaf);
+                return alone || here.any(|h| h.deaf);
             }
             if !has_machines(zone) {
                 // Nobody is there to be reached.
@@ -352,6 +365,7 @@
         });
         self.strays.retain(|_, s| now <= s.at + MEMORY);
         self.words.retain(|_, (at, _)| now < *at + FRESH);
+        self.unreached.retain(|_, (at, ..)| now < *at + LASTING);
         let forgotten = SHUNNED * 2u32.pow(MOST_DOUBLED);
         self.shunned
             .retain(|_, (until, _)| now < *until + forgotten);
@@ -400,7 +414,31 @@
 
     /// What a peer says.
     pub fn hear(&mut self, now: Duration, word: ReachWord) {
-        self.words.insert(word.from.clone(), (now, word));
+        let from = word.from.clone();
+        if word.zones.is_empty() {
+            self.unreached.remove(&from);
+        } else {
+            let zones = word.zones.clone();
+            let said = (now, word.incarnation, zones);
+            self.unreached.insert(from.clone(), said);
+        }
+        self.words.insert(from, (now, word));
+    }
+
+    /// What a process from before said is about links of before. `alive` tells
+    /// the incarnation of a peer that is up.
+    pub fn restarted(&mut self, alive: impl Fn(&str) -> Option<u64>) {
+        self.unreached
+            .retain(|node, (_, said, _)| alive(node).is_none_or(|now| now == *said));
+    }
+
+    /// Whether a controller does not reach some zone, by its own word: it may
+    /// be cut off further than it knows yet.
+    pub fn is_suspect(&self, us: &str, node: &str) -> bool {
+        match node == us {
+            true => self.out().next().is_some(),
+            false => self.unreached.contains_key(node),
+        }
     }
 
     /// What is to be told, in the words of whoever we are; none if there is
@@ -423,10 +461,13 @@
             strays: self.strays_told(now),
         };
         let some = !word.deaf.is_empty() || !word.zones.is_empty() || !word.strays.is_empty();
-        // The last word is that all is well again.
-        let due = some || self.told;
+        // The last words are that all is well again.
+        let due = some || self.untold > 0;
         self.news = false;
-        self.told = some;
+        self.untold = match some {
+            true => FAREWELLS,
+            false => self.untold.saturating_sub(1),
+        };
         due.then(|| {
             self.told_at = now;
             word
@@ -485,8 +526,8 @@
         let by_word = match node == us {
             true => self.zones.get(zone).is_some_and(Deaf::is_out),
             false => {
-                let word = self.words.get(node);
-                word.is_some_and(|(_, w)| w.zones.iter().any(|z| z == zone))
+                let said = self.unreached.get(node);
+                said.is_some_and(|(_, _, zones)| zones.iter().any(|z| z == zone))
             }
         };
         let shunned = self.shunned.get(&(node.to_owned(), zone.to_owned()));
@@ -807,6 +848,35 @@
         assert!(reach.serves(now, "n-0", "n-0", "b"));
     }
 
+    /// Two were cut from their workers, then peers refused each other: the words
+    /// were forgotten after three seconds, and blocks went back to those two.
+    #[test]
+    fn what_a_peer_does_not_reach_outlasts_its_word() {
+        let mut reach = Reach::new(PERIOD);
+        let everywhere = ["a".to_owned(), "b".to_owned()];
+        let said = |zones: &[String]| ReachWord {
+            zones: zones.to_vec(),
+            ..word(vec![])
+        };
+        let later = |reach: &mut Reach, at| {
+            reach.look(ms(at), &everywhere, BTreeMap::new, |_| true);
+            (
+                reach.serves(ms(at), "n-0", "n-1", "a"),
+                reach.is_suspect("n-0", "n-1"),
+            )
+        };
+        reach.hear(ms(1000), said(&everywhere[..1]));
+        assert_eq!(later(&mut reach, 40_000), (false, true));
+        // Not for ever, as the word that all is well may have been lost.
+        assert_eq!(later(&mut reach, 62_000), (true, false));
+        reach.hear(ms(70_000), said(&everywhere));
+        reach.hear(ms(71_000), said(&[]));
+        assert_eq!(later(&mut reach, 72_000), (true, false));
+        reach.hear(ms(73_000), said(&everywhere));
+        reach.restarted(|_| Some(1 + word(vec![]).incarnation));
+        assert_eq!(later(&mut reach, 74_000), (true, false));
+    }
+
     /// All machines had gone, and controllers left the lead to each other for
     /// minutes, as nobody was there to answer.
     #[test]
