An old report that comes first is not all there is; users are carried on to a peer

A late copy of an old report was the first that a new holder heard of a machine: it went by the attempt in there, passed over the one that lived, and placed the task anew when the old one was gone for sure. Users at a controller that is cut from the state service alone were sent away. Change: a task of an earlier term is freed only if no machine of the block lists it under another attempt. core::carry hands requests that can't be served here to a peer that reaches the state service, once, bounded, in an envelope.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -91,7 +91,7 @@
             return;
         }
         if !self.in_contact() {
-            return self.come_back(conn, "the state service can not be reached");
+            return self.carry_on(conn, "the state service can not be reached");
         }
         if self.types.is_empty() {
             return self.come_back(conn, "the machine types are not known yet");
@@ -290,7 +290,7 @@
                 }
                 // Known already: by a retry that came in elsewhere.
                 Outcome::Conflict(_) => self.admission.asks.push(ask),
-                _ => self.come_back(ask.conn, "the state service did not answer"),
+                _ => self.carry_on(ask.conn, "the state service did not answer"),
             }
         }
         self.read_for_asks();
@@ -336,7 +336,7 @@
     /// Puts a user among those who wait for a read.
     fn ask(&mut self, conn: ConnId, job: JobId, wish: Wish, spec: Option<Rc<JobSpec>>) {
         if !self.in_contact() || self.admission.asks.len() >= MOST_WAITING {
-            return self.come_back(conn, "the state service can not be reached");
+            return self.carry_on(conn, "the state service can not be reached");
         }
         self.admission.asks.push(Ask {
             conn,
@@ -353,7 +353,7 @@
         for ask in asks {
             let open = self.view.jobs.get(&ask.job).map(|j| j.phase == Phase::Open);
             if !fresh && open != Some(false) {
-                self.come_back(ask.conn, "the state service did not answer");
+                self.carry_on(ask.conn, "the state service did not answer");
                 continue;
             }
             match (open, ask.wish) {
@@ -439,7 +439,7 @@
                     self.answer(ask.conn, 200, encode(&status));
                 }
                 Outcome::Conflict(revision) => self.admission.cancels.push((ask, revision)),
-                _ => self.come_back(ask.conn, "the state service did not answer"),
+                _ => self.carry_on(ask.conn, "the state service did not answer"),
             }
         }
         self.cancels_progress();
@@ -476,7 +476,7 @@
             !late(ask)
         });
         for conn in given_up {
-            self.come_back(conn, "the state service did not answer in time");
+            self.carry_on(conn, "the state service did not answer in time");
         }
         self.read_for_asks();
     }
--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -236,6 +236,7 @@
         let proven = machine.proven;
         let gone: Vec<TaskId> = if new_session && !first {
             machine.tainted.clear();
+            machine.tasks.clear();
             machine.bound.iter().cloned().collect()
         } else {
             Vec::new()
@@ -279,7 +280,7 @@
     }
 
     /// One task on a machine.
-    fn take_entry(&mut self, name: &str, session: u64, entry: &TaskReport) {
+    pub(crate) fn take_entry(&mut self, name: &str, session: u64, entry: &TaskReport) {
         let task = &entry.task;
         let Some(slot) = self.slots.get_mut(task) else {
             return;
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -20,6 +20,7 @@
     admission::{Admission, Ask},
     blocks::Held,
     call::{Answer, Call, CallId, ConnId, Method, Output, Reply, Request, Side, Target},
+    carry::Carry,
     cloud::CloudCall,
     due::Due,
     fleet::Fleet,
@@ -115,6 +116,8 @@
     FromMemory,
     /// Users are told that a job is cancelled before the store has confirmed it.
     Unconfirmed,
+    /// What a new holder hears first of a task is all that it looks at.
+    FirstFound,
     /// Nothing is known about links.
     NoReach,
 }
@@ -144,6 +147,7 @@
     Peer(String, u64),
     Level(String),
     Reach,
+    Carried(ConnId),
     Inspect {
         zone: String,
         machine: String,
@@ -154,7 +158,7 @@
     fn lane(&self) -> Lane {
         match self {
             Self::Orders { .. } | Self::Inspect { .. } => Lane::Orders,
-            Self::Peer(..) | Self::Level(_) | Self::Reach => Lane::Peers,
+            Self::Peer(..) | Self::Level(_) | Self::Reach | Self::Carried(_) => Lane::Peers,
             _ => Lane::Outside,
         }
     }
@@ -219,6 +223,8 @@
     /// Tasks of held blocks that are done or given back and not recorded yet.
     pub(crate) over: BTreeSet<TaskId>,
     pub(crate) leader: Option<Leader>,
+    /// Users' requests that go to peers, and theirs that come here.
+    pub(crate) carry: Carry,
     /// What is known about the links to workers.
     pub(crate) reach: Reach,
     /// Since when nobody leads.
@@ -275,6 +281,7 @@
             own: Own::default(),
             over: BTreeSet::new(),
             leader: None,
+            carry: Carry::default(),
             reach: Reach::new(settings.report_period()),
             leaderless_since: None,
             settings: Rc::new(settings),
@@ -406,9 +413,10 @@
 
     /// What leaves now.
     fn leaves(&mut self) -> Vec<Output> {
-        let out = std::mem::take(&mut self.out);
-        for output in &out {
+        let mut out = std::mem::take(&mut self.out);
+        for output in &mut out {
             if let Output::Answer(answer) = output {
+                self.carry.leaves(answer);
                 self.sockets.answered(self.now, answer.conn);
             }
         }
@@ -455,6 +463,9 @@
             ..
         } = request;
         let mut parts = path.trim_start_matches('/').split('/');
+        if side == Side::Public && path.trim_start_matches('/').starts_with("work") {
+            self.carry.keep(self.now, conn, method, &path, &body);
+        }
         let route = (parts.next(), parts.next(), parts.next(), parts.next());
         match (side, route, method) {
             (_, (Some("healthz"), None, ..), Method::Get) => {
@@ -478,6 +489,11 @@
             {
                 self.hear_of_links(conn, &body);
             }
+            (Side::Internal, (Some("carry"), None, ..), Method::Post)
+                if self.program >= Level::PIPELINES =>
+            {
+                self.carried_here(conn, &body);
+            }
             (Side::Internal, (Some("level"), None, ..), Method::Get)
                 if self.program >= Level::PIPELINES =>
             {
@@ -525,6 +541,7 @@
             Pending::Peer(peer, version) => self.told(&peer, version, &reply),
             Pending::Level(node) => self.level_told(&node, &reply),
             Pending::Reach => {}
+            Pending::Carried(conn) => self.carried_back(conn, &reply),
             Pending::Inspect { zone, machine } => self.inspected(&zone, &machine, &reply),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod blocks;
 mod budget;
 mod call;
+mod carry;
 mod cloud;
 mod controller;
 mod drain;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -4,13 +4,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use oliveshift_wire::{
-    peer::ReachWord,
+    peer::{CarriedRequest, ReachWord},
     state::{Change, Txn},
     worker::Report,
 };
 
 use crate::{
-    call::{ConnId, Method, Reply, Target},
+    call::{ConnId, Method, Output, Reply, Target},
     controller::{Controller, Pending},
     leader::Duty,
     reach::Looked,
@@ -130,6 +130,55 @@
         }
     }
 
+    /// A user's request can't be served here, as the state service can't be
+    /// reached or did not answer: a peer that reaches it may.
+    pub(crate) fn carry_on(&mut self, conn: ConnId, why: &str) {
+        let peers: Vec<_> = self.peers_in_contact().cloned().collect();
+        #[cfg(feature = "sabotage")]
+        let peers = match self.sabotage {
+            Some(crate::Sabotage::NoReach) => Vec::new(),
+            _ => peers,
+        };
+        if peers.is_empty() || self.level() < Level::PIPELINES {
+            return self.come_back(conn, why);
+        }
+        let peer = peers[self.rng.usize(0..peers.len())].clone();
+        let Some((request, timeout)) = self.carry.carry(self.now, conn) else {
+            return self.come_back(conn, why);
+        };
+        log::debug!("a user's {} is carried on to {peer}: {why}", request.path);
+        // Writing into memory can't fail.
+        let body = borsh::to_vec(&request).unwrap_or_default();
+        let (to, path) = (Target::Peer(peer), "/carry".to_owned());
+        let pending = Pending::Carried(conn);
+        self.call(to, Method::Post, path, body, timeout, pending);
+    }
+
+    /// What a peer made of it.
+    pub(crate) fn carried_back(&mut self, conn: ConnId, reply: &Reply) {
+        match self.carry.back(conn, reply) {
+            Some(answer) => self.out.push(Output::Answer(answer)),
+            None => self.come_back(conn, "no controller could be asked"),
+        }
+    }
+
+    /// A peer carries a user's request to us.
+    pub(crate) fn carried_here(&mut self, conn: ConnId, body: &[u8]) {
+        let Ok(request) = borsh::from_slice::<CarriedRequest>(body) else {
+            return self.refuse(conn, 400, "not a message of this version");
+        };
+        self.carry.arrived(conn);
+        let path = request.path.trim_start_matches('/');
+        let mut parts = path.split('/');
+        let route = (parts.next(), parts.next(), parts.next(), parts.next());
+        match (route, request.asks) {
+            ((Some("work"), None, ..), false) => self.submit(conn, &request.body),
+            ((Some("work"), Some(id), None, _), true) => self.poll(conn, id),
+            ((Some("work"), Some(id), Some("abort"), None), false) => self.abort(conn, id),
+            _ => self.refuse(conn, 404, "no such path"),
+        }
+    }
+
     /// A peer tells of its links.
     pub(crate) fn hear_of_links(&mut self, conn: ConnId, body: &[u8]) {
         let Ok(word) = borsh::from_slice::<ReachWord>(body) else {
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -123,11 +123,16 @@
 
     /// Whether some peer can reach the state service while we can't.
     pub(crate) fn peers_have_contact(&self) -> bool {
-        self.peers.values().any(|p| {
-            p.is_fresh(self.now)
-                && p.contact
-                    .is_some_and(|at| self.now.saturating_sub(at) < STALE)
-        })
+        self.peers_in_contact().next().is_some()
+    }
+
+    /// The peers that reach the state service, as far as we heard.
+    pub(crate) fn peers_in_contact(&self) -> impl Iterator<Item = &String> {
+        let lately = |at: Duration| self.now.saturating_sub(at) < STALE;
+        let peers = self.peers.iter();
+        let peers =
+            peers.filter(move |(_, p)| p.is_fresh(self.now) && p.contact.is_some_and(lately));
+        peers.map(|(name, _)| name)
     }
 
     /// Images that a machine had by what we heard of it last.
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -2,7 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use oliveshift_wire::{JobId, TaskId, job::JobSpec};
+use oliveshift_wire::{
+    JobId, TaskId,
+    job::JobSpec,
+    worker::{TaskReport, TaskState, Why},
+};
 
 use crate::{
     controller::Controller,
@@ -323,6 +327,10 @@
             return;
         };
         let ours = self.held.get(&slot.block).map(|h| h.term) == Some(slot.handed);
+        if !ours && let Some((machine, session, entry)) = self.listed_elsewhere(task) {
+            self.set_state(task, State::Lost);
+            return self.take_entry(&machine, session, &entry);
+        }
         let state = if !ours && !self.block_settled(slot.block) {
             State::Lost
         } else if slot.cancelled || slot.bound().is_some_and(|b| b.stop.is_some()) {
@@ -336,6 +344,28 @@
         self.set_state(task, state);
     }
 
+    /// A machine of the block that has the task under another attempt than the
+    /// one that we went by. A late copy of an old report may be the first that a
+    /// new holder hears: it went by the attempt in there, passed over the one
+    /// that lived, and placed the task again once the old one was gone for sure.
+    fn listed_elsewhere(&self, task: &TaskId) -> Option<(String, u64, TaskReport)> {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::FirstFound) {
+            return None;
+        }
+        let slot = self.slots.get(task)?;
+        let was = slot.bound().map(|b| (b.machine.as_str(), b.attempt));
+        let names = self.view.in_block.get(&slot.block)?;
+        names.iter().find_map(|name| {
+            let machine = self.machines.get(name).filter(|m| !m.expired)?;
+            let entry = machine.tasks.iter().find(|t| {
+                let lives = t.state != TaskState::Exited || t.why == Some(Why::Done);
+                t.task == *task && lives && was != Some((name.as_str(), t.attempt))
+            })?;
+            Some((name.clone(), machine.session, entry.clone()))
+        })
+    }
+
     /// The task has stopped for good: the leader decides where it goes next.
     pub(crate) fn give_back(&mut self, task: &TaskId) {
         self.free(task, Duration::ZERO);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -70,6 +70,8 @@
     pub ended: BTreeMap<JobId, Duration>,
     /// How often submissions were refused for what is open already.
     pub turned_away: usize,
+    /// How often users were told to come again, for whatever reason.
+    pub sent_back: usize,
     /// Jobs that their users asked to cancel.
     pub cancelled: BTreeSet<JobId>,
     /// When each user came first.
@@ -336,6 +338,7 @@
     /// What may be open, if it is another than the controllers' own.
     horizon: Option<Duration>,
     turned_away: usize,
+    sent_back: usize,
 }
 
 fn settings(node: usize, size: Size) -> Settings {
@@ -456,6 +459,7 @@
             most_machines: BTreeMap::new(),
             horizon: None,
             turned_away: 0,
+            sent_back: 0,
             rng,
             guest: None,
         };
@@ -618,6 +622,7 @@
         Outcome {
             came: came.collect(),
             turned_away: self.turned_away,
+            sent_back: self.sent_back,
             cancelled: std::mem::take(&mut self.rules.asked_to_cancel),
             ended: std::mem::take(&mut self.rules.ended),
             machines: self.most_machines,
@@ -1683,6 +1688,7 @@
                 }
             }
             _ => {
+                self.sent_back += 1;
                 if let Some(user) = user {
                     user.waiting = None;
                 }
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -269,6 +269,16 @@
     }
 }
 
+/// A new holder heard a late copy of an old report first, went by the attempt in
+/// there, and when that was gone placed a task again that ran under a later one.
+#[test]
+fn an_old_report_that_comes_first_is_not_all_there_is() {
+    good(3087, draw_troubles(3087, 3, S * 180));
+    let troubles = |_| draw_troubles(3087, 3, S * 180);
+    let broken = day(3087, troubles(0), Some(Sabotage::FirstFound)).broken;
+    assert!(broken.iter().any(|(_, b, _)| *b == Broken::RanTwice));
+}
+
 /// A failure always comes back: the same seed is the same day.
 #[test]
 fn a_seed_gives_the_same_day_each_time() {
@@ -383,6 +393,33 @@
     }
 }
 
+/// Two controllers of three are turned away by the state service, then cut from
+/// it; users come to all three alike. They were sent back by two of three.
+fn users_of_whoever_is_cut(seed: u64, sabotage: Option<Sabotage>) -> usize {
+    let mut faults = Vec::new();
+    for (n, from) in [(0, 30), (1, 32)] {
+        let node = (seed as usize + n) % 3;
+        let (from, until) = (S * from, S * (from + 40));
+        faults.push(Fault::Refused { node, from, until });
+        let (from, until) = (from + S * 60, until + S * 60);
+        faults.push(Fault::CutState { node, from, until });
+    }
+    let outcome = day(seed, faults, sabotage);
+    assert_eq!((outcome.broken, outcome.open), (vec![], vec![]), "{seed}");
+    outcome.sent_back
+}
+
+#[test]
+fn users_of_whoever_is_cut_from_the_state_service_are_carried_on() {
+    let sent_back = |sabotage| {
+        (90..96)
+            .map(move |s| users_of_whoever_is_cut(s, sabotage))
+            .sum()
+    };
+    let (with, without): (usize, usize) = (sent_back(None), sent_back(Some(Sabotage::NoReach)));
+    assert!(with * 4 < without && without > 50, "{with} {without}");
+}
+
 /// Cuts two controllers from all their workers, one after the other or at once.
 fn cut_from_workers(seed: u64, at_once: bool, sabotage: Option<Sabotage>) -> Outcome {
     let cut = |node: usize, from| Fault::CutWorkers {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -90,6 +90,29 @@
     pub ago_ms: u64,
 }
 
+/// A user's request that its controller can't serve, carried on to a peer. An
+/// older program knows no such message.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct CarriedRequest {
+    /// It asks (GET); otherwise it submits or cancels (POST).
+    pub asks: bool,
+    /// The path, without query.
+    pub path: String,
+    /// The body, as the user sent it.
+    pub body: Vec<u8>,
+}
+
+/// The answer that the user gets.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct CarriedAnswer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When the user should come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
 /// The answer to the question after a controller's level, from the second
 /// level on. Unlike the messages above it keeps its form for ever.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
