Peers that are no members hear how we stand with the state service

Change: whoever is in the settings and no member is told of our contact once a second, without machines.

--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -210,6 +210,38 @@
         for peer in due {
             self.tell_peer(peer, leads, version);
         }
+        self.tell_absent(version);
+    }
+
+    /// Peers that are no members hear how we stand with the state service, and
+    /// nothing else: they may be up and turned away by it.
+    fn tell_absent(&mut self, version: u64) {
+        let (now, links) = (self.now, &self.links);
+        let leads = self.leader.is_some();
+        let peers = self.settings.peers.iter().map(|p| p.node.clone());
+        let absent = peers.filter(|peer| !links.contains_key(peer));
+        let due = self.carry.tell(now, absent);
+        if due.is_empty() {
+            return;
+        }
+        let message = PeerMessage {
+            from: self.settings.node.clone(),
+            incarnation: self.incarnation,
+            contact_ms: self.contact_age().map(|a| a.as_millis() as u64),
+            base: version,
+            upto: version,
+            machines: Vec::new(),
+            over: Vec::new(),
+            drain: self.draining.iter().filter(|_| leads).cloned().collect(),
+            preempt: Vec::new(),
+        };
+        // Writing into memory can't fail.
+        let body = borsh::to_vec(&message).unwrap_or_default();
+        for peer in due {
+            let (to, path) = (Target::Peer(peer), "/peer".into());
+            let pending = Pending::Reach;
+            self.call(to, Method::Post, path, body.clone(), PERIOD, pending);
+        }
     }
 
     fn tell_peer(&mut self, peer: String, leads: bool, version: u64) {
