--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -290,7 +290,10 @@
                 }
                 // Known already: by a retry that came in elsewhere.
                 Outcome::Conflict(_) => self.admission.asks.push(ask),
-                _ => self.carry_on(ask.conn, "the state service did not answer"),
+                // Not carried on: the write may have been executed, and a peer would
+                // call the job known already at the user's first attempt, which
+                // then takes it for somebody else's.
+                _ => self.come_back(ask.conn, "the state service did not answer"),
             }
         }
         self.read_for_asks();
