One router for users' requests, one way to send to a peer, and less work a turn

Read again: requests carried to us were routed by a copy of the router; messages to peers were built, written and refused in four places; the telling of peers that are no members lay with what is carried, and copied all names on each input; who is alone was worked out from two conditions of which one follows from the other; loads and others were counted each tick though nothing was to move. Change: Controller::serve_user, call_peer, message and bare_message serve all of them; peers::Absent owns its state; Reach::out_of answers both questions; what is needed for a move is counted when there is one. The stand-in hears a peer's call in one place.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    call::ConnId,
+    call::{ConnId, Method},
     controller::Controller,
     gate::Verdict,
     records::{JobRecord, Key, Level, Phase, TooLarge, chunk_size},
@@ -73,6 +73,25 @@
 }
 
 impl Controller {
+    /// A user's request below `/work`, whichever way it came in.
+    pub(crate) fn serve_user(
+        &mut self,
+        conn: ConnId,
+        method: Method,
+        below: (Option<&str>, Option<&str>, Option<&str>),
+        body: &[u8],
+    ) {
+        match (below, method) {
+            ((None, ..), Method::Post) => self.submit(conn, body),
+            ((Some(id), None, _), Method::Get) => self.poll(conn, id),
+            ((Some(id), Some("abort"), None), Method::Post) => self.abort(conn, id),
+            ((None, ..) | (Some(_), None | Some("abort"), None), _) => {
+                self.refuse(conn, 405, "method not allowed");
+            }
+            _ => self.refuse(conn, 404, "no such path"),
+        }
+    }
+
     pub(crate) fn submit(&mut self, conn: ConnId, body: &[u8]) {
         let mut spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -28,8 +28,6 @@
 const USER_WAITS: Duration = Duration::from_millis(4500);
 /// A peer that has not answered after this will not.
 const MOST: Duration = Duration::from_millis(1500);
-/// How often a peer that is no member is told how we stand.
-const TELL: Duration = Duration::from_secs(1);
 /// Less than this is not worth a try.
 const LEAST: Duration = Duration::from_millis(150);
 
@@ -48,24 +46,9 @@
     out: BTreeSet<ConnId>,
     /// Requests that peers have carried to us.
     carried: BTreeSet<ConnId>,
-    /// When peers that are no members were last told how we stand.
-    told: BTreeMap<String, Duration>,
 }
 
 impl Carry {
-    /// Which peers that are no members are to be told now how we stand with the
-    /// state service. One that is turned away by it for longer than its lease heard
-    /// from nobody any more, took that for an outage of all, and called itself
-    /// healthy: users went on coming to it.
-    pub fn tell(&mut self, now: Duration, absent: impl Iterator<Item = String>) -> Vec<String> {
-        let absent: BTreeSet<_> = absent.collect();
-        self.told.retain(|peer, _| absent.contains(peer));
-        let due = |peer: &String| self.told.get(peer).is_none_or(|at| now >= *at + TELL);
-        let due: Vec<_> = absent.iter().filter(|p| due(p)).cloned().collect();
-        self.told.extend(due.iter().map(|peer| (peer.clone(), now)));
-        due
-    }
-
     /// A user's request has come in.
     pub fn keep(&mut self, now: Duration, conn: ConnId, method: Method, path: &str, body: &[u8]) {
         let asks = match method {
@@ -169,19 +152,6 @@
         assert_eq!(out.count(), MOST_OUT - 2);
     }
 
-    #[test]
-    fn peers_that_are_no_members_are_told_once_a_second() {
-        let mut carry = Carry::default();
-        let mut told = |at, absent: &[&str]| {
-            let absent: Vec<_> = absent.iter().map(|p| (*p).to_owned()).collect();
-            carry.tell(ms(at), absent.into_iter()).len()
-        };
-        assert_eq!(told(1000, &["n-1", "n-2"]), 2);
-        assert_eq!(told(1900, &["n-1", "n-2"]), 0);
-        assert_eq!(told(1950, &["n-1"]), 0);
-        assert_eq!(told(2000, &["n-1", "n-2"]), 2, "one is gone again");
-    }
-
     /// An older program says 404 to a path that it does not know: users would
     /// have heard that an accepted job does not exist.
     #[test]
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -11,7 +11,6 @@
     JobId, TaskId,
     cloud::MachineType,
     job::Refusal,
-    peer::PeerMessage,
     settings::{Settings, StateLimits},
     state::Txn,
 };
@@ -29,7 +28,7 @@
     intake::{Class, Intake},
     leader::Leader,
     machine::Machine,
-    peers::{Link, PeerState},
+    peers::{Absent, Link, PeerState},
     reach::Reach,
     recorder::{Busy, News},
     records::{BlockId, Key, Level},
@@ -154,6 +153,19 @@
     },
 }
 
+/// The parts of a path.
+pub(crate) type Route<'a> = (
+    Option<&'a str>,
+    Option<&'a str>,
+    Option<&'a str>,
+    Option<&'a str>,
+);
+
+pub(crate) fn route(path: &str) -> Route<'_> {
+    let mut parts = path.trim_start_matches('/').split('/');
+    (parts.next(), parts.next(), parts.next(), parts.next())
+}
+
 impl Pending {
     fn lane(&self) -> Lane {
         match self {
@@ -225,6 +237,8 @@
     pub(crate) leader: Option<Leader>,
     /// Users' requests that go to peers, and theirs that come here.
     pub(crate) carry: Carry,
+    /// When peers that are no members were told how we stand.
+    pub(crate) absent: Absent,
     /// What is known about the links to workers.
     pub(crate) reach: Reach,
     /// Since when nobody leads.
@@ -282,6 +296,7 @@
             over: BTreeSet::new(),
             leader: None,
             carry: Carry::default(),
+            absent: Absent::default(),
             reach: Reach::new(settings.report_period()),
             leaderless_since: None,
             settings: Rc::new(settings),
@@ -462,26 +477,19 @@
             body,
             ..
         } = request;
-        let mut parts = path.trim_start_matches('/').split('/');
-        if side == Side::Public && path.trim_start_matches('/').starts_with("work") {
-            self.carry.keep(self.now, conn, method, &path, &body);
-        }
-        let route = (parts.next(), parts.next(), parts.next(), parts.next());
-        match (side, route, method) {
+        match (side, route(&path), method) {
             (_, (Some("healthz"), None, ..), Method::Get) => {
                 let status = if self.healthy() { 200 } else { 503 };
                 self.answer(conn, status, Vec::new());
             }
-            (Side::Public, (Some("work"), None, ..), Method::Post) => self.submit(conn, &body),
-            (Side::Public, (Some("work"), Some(id), None, _), Method::Get) => self.poll(conn, id),
-            (Side::Public, (Some("work"), Some(id), Some("abort"), None), Method::Post) => {
-                self.abort(conn, id);
+            (Side::Public, (Some("work"), id, what, more), _) => {
+                self.carry.keep(self.now, conn, method, &path, &body);
+                self.serve_user(conn, method, (id, what, more), &body);
             }
             (Side::Public, (Some("checkin"), None, ..), Method::Post) => self.report(conn, &body),
             (Side::Internal, (Some("peer"), None, ..), Method::Post) => {
-                match borsh::from_slice::<PeerMessage>(&body) {
-                    Ok(message) => self.hear(conn, message),
-                    Err(_) => self.refuse(conn, 400, "not a message of this version"),
+                if let Some(message) = self.message(conn, &body) {
+                    self.hear(conn, message);
                 }
             }
             (Side::Internal, (Some("reach"), None, ..), Method::Post)
@@ -508,8 +516,7 @@
             (_, (Some("healthz"), None, ..), _)
             | (Side::Internal, (Some("peer"), None, ..), _)
             | (Side::Internal, (Some("admin"), Some("upgrade"), None, _), _)
-            | (Side::Public, (Some("work" | "checkin"), None, ..), _)
-            | (Side::Public, (Some("work"), Some(_), None | Some("abort"), None), _) => {
+            | (Side::Public, (Some("checkin"), None, ..), _) => {
                 self.refuse(conn, 405, "method not allowed");
             }
             _ => self.refuse(conn, 404, "no such path"),
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     call::{ConnId, Method, Output, Reply, Target},
-    controller::{Controller, Pending},
+    controller::{Controller, Pending, route},
     leader::Duty,
     reach::Looked,
     records::{BlockId, Level},
@@ -113,19 +113,9 @@
         }
         let node = &self.settings.node;
         if let Some(word) = self.reach.tell(now, node, self.incarnation) {
-            // Writing into memory can't fail.
-            let body = borsh::to_vec(&word).unwrap_or_default();
             let peers: Vec<_> = self.links.keys().cloned().collect();
             for peer in peers {
-                let (to, path) = (Target::Peer(peer), "/reach".to_owned());
-                self.call(
-                    to,
-                    Method::Post,
-                    path,
-                    body.clone(),
-                    TIMEOUT,
-                    Pending::Reach,
-                );
+                self.call_peer(peer, "/reach", &word, TIMEOUT, Pending::Reach);
             }
         }
     }
@@ -147,11 +137,7 @@
             return self.come_back(conn, why);
         };
         log::debug!("a user's {} is carried on to {peer}: {why}", request.path);
-        // Writing into memory can't fail.
-        let body = borsh::to_vec(&request).unwrap_or_default();
-        let (to, path) = (Target::Peer(peer), "/carry".to_owned());
-        let pending = Pending::Carried(conn);
-        self.call(to, Method::Post, path, body, timeout, pending);
+        self.call_peer(peer, "/carry", &request, timeout, Pending::Carried(conn));
     }
 
     /// What a peer made of it.
@@ -164,25 +150,23 @@
 
     /// A peer carries a user's request to us.
     pub(crate) fn carried_here(&mut self, conn: ConnId, body: &[u8]) {
-        let Ok(request) = borsh::from_slice::<CarriedRequest>(body) else {
-            return self.refuse(conn, 400, "not a message of this version");
+        let Some(CarriedRequest { asks, path, body }) = self.message(conn, body) else {
+            return;
         };
         self.carry.arrived(conn);
-        let path = request.path.trim_start_matches('/');
-        let mut parts = path.split('/');
-        let route = (parts.next(), parts.next(), parts.next(), parts.next());
-        match (route, request.asks) {
-            ((Some("work"), None, ..), false) => self.submit(conn, &request.body),
-            ((Some("work"), Some(id), None, _), true) => self.poll(conn, id),
-            ((Some("work"), Some(id), Some("abort"), None), false) => self.abort(conn, id),
+        let method = if asks { Method::Get } else { Method::Post };
+        match route(&path) {
+            (Some("work"), id, what, more) => {
+                self.serve_user(conn, method, (id, what, more), &body);
+            }
             _ => self.refuse(conn, 404, "no such path"),
         }
     }
 
     /// A peer tells of its links.
     pub(crate) fn hear_of_links(&mut self, conn: ConnId, body: &[u8]) {
-        let Ok(word) = borsh::from_slice::<ReachWord>(body) else {
-            return self.refuse(conn, 400, "not a message of this version");
+        let Some(word) = self.message::<ReachWord>(conn, body) else {
+            return;
         };
         if !self.links.contains_key(&word.from) {
             return self.refuse(conn, 403, "not a controller of this deployment");
@@ -222,12 +206,16 @@
             .collect();
         let us = &self.settings.node;
         let moves = self.reach.moves(now, us, &looked);
-        let others = looked.iter().any(|b| {
-            let zone = self.view.blocks.get(&b.id).map(|b| &b.record.zone);
-            let serves = |zone: &String| self.reach.serves(now, us, b.holder, zone);
-            b.holder != us && b.machines > 0 && zone.is_some_and(serves)
-        });
-        let mut loads = self.loads();
+        let others = self.reach.is_beyond()
+            && looked.iter().any(|b| {
+                let zone = self.view.blocks.get(&b.id).map(|b| &b.record.zone);
+                let serves = |zone: &String| self.reach.serves(now, us, b.holder, zone);
+                b.holder != us && b.machines > 0 && zone.is_some_and(serves)
+            });
+        let mut loads = match moves.is_empty() {
+            true => BTreeMap::new(),
+            false => self.loads(),
+        };
         for found in moves {
             let Some(block) = self.view.blocks.get(&found.block).cloned() else {
                 continue;
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -1,7 +1,11 @@
 //! What controllers tell each other: advice only.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
+use borsh::{BorshDeserialize, BorshSerialize};
 use oliveshift_wire::{TaskId, peer::PeerMessage};
 
 use crate::{
@@ -54,7 +58,52 @@
     drain_due: bool,
 }
 
+/// When peers that are no members were last told how we stand.
+#[derive(Debug, Default)]
+pub(crate) struct Absent {
+    told: BTreeMap<String, Duration>,
+}
+
+impl Absent {
+    /// Which peers that are no members are to be told now how we stand with the
+    /// state service. One that is turned away by it for longer than its lease heard
+    /// from nobody any more, took that for an outage of all, and called itself
+    /// healthy: users went on coming to it.
+    fn due(&mut self, now: Duration, absent: impl Iterator<Item = String>) -> Vec<String> {
+        let absent: BTreeSet<_> = absent.collect();
+        self.told.retain(|peer, _| absent.contains(peer));
+        let due = |peer: &String| self.told.get(peer).is_none_or(|at| now >= *at + PERIOD);
+        let due: Vec<_> = absent.iter().filter(|p| due(p)).cloned().collect();
+        self.told.extend(due.iter().map(|peer| (peer.clone(), now)));
+        due
+    }
+}
+
 impl Controller {
+    /// A message of a controller; none if it is refused.
+    pub(crate) fn message<T: BorshDeserialize>(&mut self, conn: ConnId, body: &[u8]) -> Option<T> {
+        let message = borsh::from_slice(body).ok();
+        if message.is_none() {
+            self.refuse(conn, 400, "not a message of this version");
+        }
+        message
+    }
+
+    /// Sends a message to another controller.
+    pub(crate) fn call_peer(
+        &mut self,
+        peer: String,
+        path: &str,
+        message: &impl BorshSerialize,
+        timeout: Duration,
+        pending: Pending,
+    ) {
+        // Writing into memory can't fail.
+        let body = borsh::to_vec(message).unwrap_or_default();
+        let (to, path) = (Target::Peer(peer), path.to_owned());
+        self.call(to, Method::Post, path, body, timeout, pending);
+    }
+
     /// Takes in what another controller says.
     pub(crate) fn hear(&mut self, conn: ConnId, message: PeerMessage) {
         let now = self.now;
@@ -208,7 +257,7 @@
             .map(|(peer, _)| peer.clone())
             .collect();
         for peer in due {
-            self.tell_peer(peer, leads, version);
+            self.tell_peer(peer, version);
         }
         self.tell_absent(version);
     }
@@ -217,14 +266,22 @@
     /// nothing else: they may be up and turned away by it.
     fn tell_absent(&mut self, version: u64) {
         let (now, links) = (self.now, &self.links);
-        let leads = self.leader.is_some();
-        let peers = self.settings.peers.iter().map(|p| p.node.clone());
-        let absent = peers.filter(|peer| !links.contains_key(peer));
-        let due = self.carry.tell(now, absent);
+        let peers = self.settings.peers.iter().map(|p| &p.node);
+        let absent = peers.filter(|peer| !links.contains_key(*peer)).cloned();
+        let due = self.absent.due(now, absent);
         if due.is_empty() {
             return;
         }
-        let message = PeerMessage {
+        let message = self.bare_message(version);
+        for peer in due {
+            self.call_peer(peer, "/peer", &message, PERIOD, Pending::Reach);
+        }
+    }
+
+    /// How we stand, and what the leader asks of all; nothing of machines.
+    fn bare_message(&self, version: u64) -> PeerMessage {
+        let leads = self.leader.is_some();
+        PeerMessage {
             from: self.settings.node.clone(),
             incarnation: self.incarnation,
             contact_ms: self.contact_age().map(|a| a.as_millis() as u64),
@@ -234,17 +291,10 @@
             over: Vec::new(),
             drain: self.draining.iter().filter(|_| leads).cloned().collect(),
             preempt: Vec::new(),
-        };
-        // Writing into memory can't fail.
-        let body = borsh::to_vec(&message).unwrap_or_default();
-        for peer in due {
-            let (to, path) = (Target::Peer(peer), "/peer".into());
-            let pending = Pending::Reach;
-            self.call(to, Method::Post, path, body.clone(), PERIOD, pending);
         }
     }
 
-    fn tell_peer(&mut self, peer: String, leads: bool, version: u64) {
+    fn tell_peer(&mut self, peer: String, version: u64) {
         let now = self.now;
         let Some(link) = self.links.get_mut(&peer) else {
             return;
@@ -257,30 +307,14 @@
         let machines = self.own.machines.iter();
         let changed = machines.filter(|(_, (at, _))| *at > base);
         let message = PeerMessage {
-            from: self.settings.node.clone(),
-            incarnation: self.incarnation,
-            contact_ms: self.contact_age().map(|a| a.as_millis() as u64),
             base,
-            upto: version,
             machines: changed.map(|(n, (_, seen))| seen.tell(now, n)).collect(),
             over: self.over.iter().cloned().collect(),
-            drain: if leads {
-                self.draining.iter().cloned().collect()
-            } else {
-                Vec::new()
-            },
             preempt,
+            ..self.bare_message(version)
         };
-        // Writing into memory can't fail.
-        let body = borsh::to_vec(&message).unwrap_or_default();
-        self.call(
-            Target::Peer(peer.clone()),
-            Method::Post,
-            "/peer".into(),
-            body,
-            TIMEOUT,
-            Pending::Peer(peer, version),
-        );
+        let pending = Pending::Peer(peer.clone(), version);
+        self.call_peer(peer, "/peer", &message, TIMEOUT, pending);
     }
 
     /// What came of a message to a peer.
@@ -300,3 +334,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[test]
+    fn peers_that_are_no_members_are_told_once_a_second() {
+        let mut absent_peers = Absent::default();
+        let mut told = |at, absent: &[&str]| {
+            let absent: Vec<_> = absent.iter().map(|p| (*p).to_owned()).collect();
+            absent_peers.due(ms(at), absent.into_iter()).len()
+        };
+        assert_eq!(told(1000, &["n-1", "n-2"]), 2);
+        assert_eq!(told(1900, &["n-1", "n-2"]), 0);
+        assert_eq!(told(1950, &["n-1"]), 0);
+        assert_eq!(told(2000, &["n-1", "n-2"]), 2, "one is gone again");
+    }
+}
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -340,10 +340,11 @@
         // Whoever hears nobody can't tell about zones in which it holds nothing:
         // it got those of a dead controller, which lost their leases with it.
         let machines = self.blocks.values().map(|h| h.machines).sum();
-        let last = self.blocks.values().map(|h| h.heard).max();
-        let quiet = last.is_some_and(|at| now > at + explained(self.period, machines));
-        let all = !self.zones.is_empty() && self.blocks.values().all(|h| h.deaf);
-        let alone = all || (machines > 0 && quiet);
+        let alone = match self.blocks.values().map(|h| h.heard).max() {
+            Some(last) => now > last + explained(self.period, machines),
+            // Whoever has lost all for it; others hold nothing yet.
+            None => !self.zones.is_empty(),
+        };
         if alone {
             for zone in everywhere {
                 Self::is_cut(&mut self.zones, zone);
@@ -435,10 +436,7 @@
     /// Whether a controller does not reach some zone, by its own word: it may
     /// be cut off further than it knows yet.
     pub fn is_suspect(&self, us: &str, node: &str) -> bool {
-        match node == us {
-            true => self.out().next().is_some(),
-            false => self.unreached.contains_key(node),
-        }
+        !self.out_of(us, node).is_empty()
     }
 
     /// What is to be told, in the words of whoever we are; none if there is
@@ -480,6 +478,18 @@
         out.map(|(zone, _)| zone)
     }
 
+    /// The zones that a controller does not reach, by its own word.
+    fn out_of(&self, us: &str, node: &str) -> Vec<&String> {
+        match node == us {
+            true => self.out().collect(),
+            false => {
+                let said = self.unreached.get(node);
+                said.map(|(_, _, zones)| zones.iter().collect())
+                    .unwrap_or_default()
+            }
+        }
+    }
+
     /// Some strays of each block, those that came again first.
     fn strays_told(&self, now: Duration) -> Vec<StrayWord> {
         let mut told: Vec<_> = self
@@ -523,13 +533,7 @@
     /// Whether a controller, by its own word and by what was seen of it, can
     /// serve workers of a zone. `us` is our name.
     pub fn serves(&self, now: Duration, us: &str, node: &str, zone: &str) -> bool {
-        let by_word = match node == us {
-            true => self.zones.get(zone).is_some_and(Deaf::is_out),
-            false => {
-                let said = self.unreached.get(node);
-                said.is_some_and(|(_, _, zones)| zones.iter().any(|z| z == zone))
-            }
-        };
+        let by_word = self.out_of(us, node).into_iter().any(|z| z == zone);
         let shunned = self.shunned.get(&(node.to_owned(), zone.to_owned()));
         !by_word && shunned.is_none_or(|(until, _)| now >= *until)
     }
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -428,8 +428,7 @@
     for _ in 0..rng.usize(2..5) {
         let node = rng.usize(0..nodes);
         let from = ms(rng.u64(15_000..last));
-        let for_a_while = from + ms(rng.u64(5_000..50_000));
-        let until = for_a_while.min(end);
+        let until = (from + ms(rng.u64(5_000..50_000))).min(end);
         faults.push(match rng.u32(0..8) {
             // Below, about and beyond the leases of controllers and workers.
             0..3 => Fault::Frozen {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -383,6 +383,18 @@
     Settings::parse(&text).expect("the settings are good")
 }
 
+/// What a controller hears that another one calls.
+fn from_peer(call: Call, conn: u64, socket: SocketId) -> Request {
+    Request {
+        conn,
+        socket,
+        side: Side::Internal,
+        method: call.method,
+        path: call.path,
+        body: call.body,
+    }
+}
+
 /// The number in a controller's name.
 fn number_of(node: &str) -> usize {
     let number = node.trim_start_matches("n-").parse();
@@ -1293,14 +1305,7 @@
                 }
                 let life = self.nodes[to].life;
                 self.at(now + S, Event::Ends(to, life, socket));
-                let request = Request {
-                    conn,
-                    socket,
-                    side: Side::Internal,
-                    method: call.method,
-                    path: call.path,
-                    body: call.body,
-                };
+                let request = from_peer(call, conn, socket);
                 self.input(to, Input::Request(request));
             }
         }
@@ -1383,14 +1388,7 @@
                     let reply = Reply::NotSent;
                     return self.at(self.now, Event::Reply(node, life, id, reply));
                 }
-                let request = Request {
-                    conn,
-                    socket,
-                    side: Side::Internal,
-                    method: call.method,
-                    path: call.path,
-                    body: call.body,
-                };
+                let request = from_peer(call, conn, socket);
                 let asker = Asker::Peer { node, life, id };
                 let to_life = self.nodes[to].life;
                 self.askers.insert((to, to_life, conn), (asker, socket));
