--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -300,6 +300,13 @@
         let Ok(id) = id.parse::<JobId>() else {
             return self.refuse(conn, 404, "no such job");
         };
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::FromMemory) {
+            return match self.view.jobs.contains_key(&id) {
+                true => self.tell(conn, &id, 200),
+                false => self.refuse(conn, 404, "no such job"),
+            };
+        }
         match self.view.jobs.get(&id) {
             Some(job) if job.phase != Phase::Open => self.tell(conn, &id, 200),
             _ => self.ask(conn, id, Wish::Poll, None),
@@ -402,6 +409,16 @@
             }],
         };
         let conn = ask.conn;
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::Unconfirmed) {
+            let status = JobStatus {
+                id: id.clone(),
+                phase: JobPhase::Cancelled,
+                done: None,
+                running: None,
+            };
+            self.answer(conn, 200, encode(&status));
+        }
         if !self.txn(txn, Purpose::Cancel(id, vec![ask]), Urgency::User) {
             self.come_back(conn, "too many requests at once");
         }
--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -33,6 +33,10 @@
     /// A block's record has changed.
     pub(crate) fn block_changed(&mut self, id: BlockId) {
         let mine = self.view.blocks.get(&id).filter(|b| {
+            #[cfg(feature = "sabotage")]
+            if self.sabotage == Some(crate::Sabotage::OldLife) {
+                return b.record.holder == self.settings.node;
+            }
             b.record.holder == self.settings.node && b.record.incarnation == self.incarnation
         });
         let term = mine.map(|b| b.version);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -104,6 +104,12 @@
     SameLife,
     /// Every job is let in by one flow's share.
     NoFlows,
+    /// A process takes what its predecessor of the same name held for its own.
+    OldLife,
+    /// Users are answered from memory, whatever may have changed.
+    FromMemory,
+    /// Users are told that a job is cancelled before the store has confirmed it.
+    Unconfirmed,
 }
 
 /// A request that the controller made and has no reply to yet.
@@ -186,7 +192,7 @@
     /// Chunks with news to record.
     pub(crate) dirty: BTreeMap<(JobId, u32), News>,
     /// Chunks with a write under way.
-    pub(crate) busy: HashMap<(JobId, u32), Busy>,
+    pub(crate) busy: BTreeMap<(JobId, u32), Busy>,
     /// Machines for which orders are ready.
     pub(crate) to_order: Due,
     pub(crate) attempts: u64,
@@ -243,7 +249,7 @@
             unplaced: BTreeSet::new(),
             futile: Futile::default(),
             dirty: BTreeMap::new(),
-            busy: HashMap::new(),
+            busy: BTreeMap::new(),
             to_order: Due::default(),
             attempts: 0,
             peers: BTreeMap::new(),
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -1,10 +1,7 @@
 //! How fast work really goes: tasks take longer than their owners say, as they
 //! fetch images, wait for their turn on the way and are estimated wrongly.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use oliveshift_wire::JobId;
 
@@ -36,7 +33,7 @@
 /// The pace of all work that ends.
 #[derive(Debug, Default)]
 pub(crate) struct Drain {
-    jobs: HashMap<JobId, Progress>,
+    jobs: BTreeMap<JobId, Progress>,
     at: Duration,
     /// Seconds of work by the owners' word that got done, and seconds that
     /// tasks were out, of late.
@@ -88,7 +85,7 @@
         }
         self.expected_s = self.expected_s * fade + done_s;
         self.out_s = self.out_s * fade + out * passed;
-        self.jobs = open.into_iter().collect();
+        self.jobs = open;
     }
 
     /// How fast a flow drains: seconds of the whole fleet in a second.
--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -228,11 +228,10 @@
             return Vec::new();
         }
         let mut tasks = Vec::new();
-        for ((busy_id, _), busy) in &self.busy {
-            if busy_id == id {
-                let new = |(index, _): &&(u32, u32)| job.place(*index) == Place::Waiting;
-                tasks.extend(busy.handed.iter().filter(new).copied());
-            }
+        let parts = (id.clone(), 0)..=(id.clone(), u32::MAX);
+        for (_, busy) in self.busy.range(parts) {
+            let new = |(index, _): &&(u32, u32)| job.place(*index) == Place::Waiting;
+            tasks.extend(busy.handed.iter().filter(new).copied());
         }
         tasks
     }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -136,6 +136,8 @@
     touch_at: Duration,
     member_pending: bool,
     lead_pending: bool,
+    /// What came of the last of these two writes shows at this revision.
+    session_at: u64,
     loading: Option<(View, Option<String>)>,
     page_pending: bool,
     /// The whole view has been read once.
@@ -163,6 +165,7 @@
             touch_at: Duration::ZERO,
             member_pending: false,
             lead_pending: false,
+            session_at: 0,
             loading: None,
             page_pending: false,
             ready: false,
@@ -300,19 +303,23 @@
     fn keep_member(&mut self) {
         let Some(hold) = self.store.hold else { return };
         let node = &self.settings.node;
-        let listed = self
-            .view
-            .members
-            .get(node)
-            .is_some_and(|m| m.record.incarnation == self.incarnation);
-        if listed || self.store.member_pending || !self.store.ready || self.is_founding() {
+        let listed = self.view.members.get(node);
+        let ours = listed.is_some_and(|m| m.record.incarnation == self.incarnation);
+        let waits = self.store.member_pending || self.view.revision < self.store.session_at;
+        if ours || waits || !self.store.ready || self.is_founding() {
             return;
         }
         let record = self.member_record();
+        let key = Key::Member(node.clone()).path();
         let txn = Txn {
-            conds: Vec::new(),
+            // A late copy of what a process of our name from before has written
+            // must not put its record in the place of ours.
+            conds: vec![Cond {
+                key: key.clone(),
+                version: listed.map_or(0, |m| m.version),
+            }],
             changes: vec![Change::Put {
-                key: Key::Member(node.clone()).path(),
+                key,
                 value: to_list(&record),
                 lease: Some(hold),
             }],
@@ -330,13 +337,19 @@
 
     pub(crate) fn member_written(&mut self, outcome: Outcome) {
         self.store.member_pending = false;
-        self.lease_lost_if(outcome);
+        self.session_written(outcome);
     }
 
-    fn lease_lost_if(&mut self, outcome: Outcome) {
-        if outcome == Outcome::NoLease {
-            self.store.hold = None;
-            self.store.touch_at = self.now;
+    fn session_written(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::NoLease => {
+                self.store.hold = None;
+                self.store.touch_at = self.now;
+            }
+            Outcome::Done(revision) | Outcome::Conflict(revision) => {
+                self.store.session_at = self.store.session_at.max(revision);
+            }
+            Outcome::Refused | Outcome::Impossible | Outcome::Unknown => {}
         }
     }
 
@@ -344,7 +357,8 @@
     /// incarnation of this very controller, which is surely gone.
     fn seek_leadership(&mut self) {
         let Some(hold) = self.store.hold else { return };
-        if self.store.lead_pending || !self.in_contact() || self.is_founding() {
+        let waits = self.store.lead_pending || self.view.revision < self.store.session_at;
+        if waits || !self.in_contact() || self.is_founding() {
             return;
         }
         let version = match &self.view.leader {
@@ -374,7 +388,7 @@
 
     pub(crate) fn lead_written(&mut self, outcome: Outcome) {
         self.store.lead_pending = false;
-        self.lease_lost_if(outcome);
+        self.session_written(outcome);
     }
 
     fn keep_view(&mut self) {
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -12,6 +12,27 @@
         /// When.
         at: Duration,
     },
+    /// A controller is killed and is back after a while of any length.
+    Ends {
+        /// Which.
+        node: usize,
+        /// When.
+        at: Duration,
+        /// After how long.
+        back: Duration,
+    },
+    /// What controllers ask of the state service, the cloud and each other,
+    /// what workers report and what users submit and cancel comes once more,
+    /// late: one of so many messages. An order to a worker does so that got no
+    /// answer; its sender may have ended meanwhile.
+    Copies {
+        /// One of so many.
+        one_in: u32,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// A controller and the state service do not hear each other.
     CutState {
         /// Which.
@@ -185,8 +206,10 @@
             | Self::LateAnswers { from, until, .. }
             | Self::Silent { from, until, .. }
             | Self::LostAnswers { from, until }
+            | Self::Copies { from, until, .. }
             | Self::PeersRefuse { from, until } => Some(from..until),
             Self::Crash { .. }
+            | Self::Ends { .. }
             | Self::Taken { .. }
             | Self::Sick { .. }
             | Self::Roll { .. }
@@ -316,6 +339,83 @@
     faults
 }
 
+/// Draws a day on which controllers are back at once, the usual ends included:
+/// one by one, all together, several times within seconds, and in the middle of
+/// an election, while late copies of old messages are about.
+pub fn draw_quick(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x7175_6963);
+    let ms = Duration::from_millis;
+    let mut faults = draw(seed, nodes, end);
+    let back = |rng: &mut fastrand::Rng| match rng.u32(0..4) {
+        0 => ms(rng.u64(20..60)),
+        1 | 2 => ms(rng.u64(60..800)),
+        _ => ms(rng.u64(800..5000)),
+    };
+    for fault in &mut faults {
+        if let Fault::Crash { node, at } = *fault {
+            let back = back(&mut rng);
+            *fault = Fault::Ends { node, at, back };
+        }
+    }
+    let last = end.as_millis() as u64 - 15_000;
+    for _ in 0..rng.usize(2..6) {
+        let mut at = ms(rng.u64(5_000..last));
+        let node = rng.usize(0..nodes);
+        match rng.u32(0..4) {
+            // Again before anybody has noticed.
+            0 => faults.push(Fault::Ends {
+                node,
+                at,
+                back: ms(rng.u64(20..200)),
+            }),
+            // Again and again, soon after each has come up.
+            1 => {
+                for _ in 0..rng.usize(3..12) {
+                    let back = ms(rng.u64(20..600));
+                    faults.push(Fault::Ends { node, at, back });
+                    at += back + ms(rng.u64(100..1500));
+                }
+            }
+            // Gone long enough for an election, and others in the middle of it.
+            2 => {
+                let back = ms(rng.u64(2800..4500));
+                faults.push(Fault::Ends { node, at, back });
+                for other in (0..nodes).filter(|n| *n != node) {
+                    let at = at + ms(rng.u64(2500..4200));
+                    let back = ms(rng.u64(20..500));
+                    faults.push(Fault::Ends {
+                        node: other,
+                        at,
+                        back,
+                    });
+                }
+            }
+            // All, at about the same time, twice.
+            _ => {
+                for node in 0..nodes {
+                    let at = at + ms(rng.u64(0..400));
+                    let back = back(&mut rng);
+                    faults.push(Fault::Ends { node, at, back });
+                    let at = at + back + ms(rng.u64(50..4000));
+                    let back = ms(rng.u64(20..400));
+                    faults.push(Fault::Ends { node, at, back });
+                }
+            }
+        }
+    }
+    faults.push(Fault::Copies {
+        one_in: rng.u32(4..40),
+        from: Duration::ZERO,
+        until: end,
+    });
+    if rng.u32(0..3) == 0 {
+        let from = ms(rng.u64(15_000..last));
+        let until = from + ms(rng.u64(500..4_000));
+        faults.push(Fault::LostAnswers { from, until });
+    }
+    faults
+}
+
 /// How long a controller takes to come back.
 pub const RESTART: Duration = Duration::from_secs(5);
 
