A controller that is cut off alone does not call itself healthy

Cause, found by reading: a controller that loses the state service and its peers, but not its users, hears of nobody's contact, took that for an outage of all and stayed in the load balancer's favour for the whole cut; users who came to it were sent back for as long, and carrying their requests on takes a peer. An outage is told by the state service itself, which says 503. So: no answer of any kind from it for 4 s and no word of a peer for 3.5 s is a cut of ours. A unit test drives cut, moment, outage and outage with silent peers.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -195,6 +195,11 @@
         }
     }
 
+    /// Whether the state service was asked.
+    fn is_state(&self) -> bool {
+        !matches!(self, Self::Cloud(_)) && self.lane() == Lane::Outside
+    }
+
     fn is_doubtful(&self) -> bool {
         matches!(
             self,
@@ -548,6 +553,9 @@
             return;
         };
         self.sockets.called(pending.lane(), pending.is_doubtful());
+        if pending.is_state() && matches!(reply, Reply::Answer { .. }) {
+            self.store.answered = self.now;
+        }
         match pending {
             Pending::NewHold => self.hold_granted(&reply, sent),
             Pending::TouchHold => self.hold_touched(&reply, sent),
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Whether we heard from some peer lately.
+    pub(crate) fn hears_peers(&self) -> bool {
+        self.peers.values().any(|p| p.is_fresh(self.now))
+    }
+
     /// Whether some peer can reach the state service while we can't.
     pub(crate) fn peers_have_contact(&self) -> bool {
         self.peers_in_contact().next().is_some()
@@ -336,23 +341,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn ms(n: u64) -> Duration {
-        Duration::from_millis(n)
-    }
-
-    #[test]
-    fn peers_that_are_no_members_are_told_once_a_second() {
-        let mut absent_peers = Absent::default();
-        let mut told = |at, absent: &[&str]| {
-            let absent: Vec<_> = absent.iter().map(|p| (*p).to_owned()).collect();
-            absent_peers.due(ms(at), absent.into_iter()).len()
-        };
-        assert_eq!(told(1000, &["n-1", "n-2"]), 2);
-        assert_eq!(told(1900, &["n-1", "n-2"]), 0);
-        assert_eq!(told(1950, &["n-1"]), 0);
-        assert_eq!(told(2000, &["n-1", "n-2"]), 2, "one is gone again");
-    }
-}
+mod tests;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -36,6 +36,9 @@
 const READ_SHARE: f64 = 0.25;
 /// The age of contact beyond which submissions are sent back at once.
 const CONTACT_LOST: Duration = Duration::from_millis(2600);
+/// After so long without any answer of the state service, and without a word of a
+/// peer, it is us who are cut off.
+const CUT_OFF: Duration = Duration::from_millis(4000);
 /// The share of the limits that we use: refusals cost more than waiting.
 const SHARE: f64 = 0.92;
 /// The leader's part of the writes, and how many followers' part of the
@@ -145,6 +148,8 @@
     pub ready: bool,
     /// When the request was sent whose answer last made the view whole.
     pub contact: Option<Duration>,
+    /// When the state service answered last, be it that it can't serve us.
+    pub answered: Duration,
     watch_pending: bool,
     watch_at: Duration,
     read_pending: bool,
@@ -173,6 +178,7 @@
             page_pending: false,
             ready: false,
             contact: None,
+            answered: Duration::ZERO,
             watch_pending: false,
             watch_at: Duration::ZERO,
             read_pending: false,
@@ -225,7 +231,17 @@
     /// contact, staying up saves users the time that it takes the load
     /// balancer to trust us again.
     pub(crate) fn healthy(&self) -> bool {
-        self.store.ready && (self.in_contact() || !self.peers_have_contact())
+        let others = self.peers_have_contact() || self.is_cut_off();
+        self.store.ready && (self.in_contact() || !others)
+    }
+
+    /// Whether it looks as if we were cut off from all the others: the state service
+    /// does not answer at all, while in an outage it says so, and no peer is heard.
+    /// Who is cut off so hears of nobody's contact, took it for an outage, and users
+    /// went on coming to it for as long as the cut lasted.
+    fn is_cut_off(&self) -> bool {
+        let silent = self.now > self.store.answered + CUT_OFF;
+        silent && !self.settings.peers.is_empty() && !self.hears_peers()
     }
 
     /// Shares the limits among the controllers that are up: one that is not
--- a/crates/core/src/store/tests.rs
+++ b/crates/core/src/store/tests.rs
@@ -9,14 +9,19 @@
 use crate::{Controller, Input, Now, Output, Reply};
 
 fn controller() -> Controller {
+    with_peers("")
+}
+
+fn with_peers(peers: &str) -> Controller {
     let settings = r#"{"member":"n-0","site":"a","bind":"10.0.0.1:80",
-        "internal_addr":"10.0.0.1:81","members":[],
+        "internal_addr":"10.0.0.1:81","members":[PEERS],
         "outside":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
         "deployment":{"zones":["a"],"teams":[],
         "workers":{"report_s":2,"lease_s":12,"cancel_s":30},
         "state":{"rps":100,"write_rps":50,"value_kb":16,"txn_ops":20},
         "cloud":{"rps":6,"list_lag_s":3},"limits":{"max_sockets":100}}}"#;
-    Controller::new(Settings::parse(settings).expect("settings"), 1)
+    let settings = settings.replace("PEERS", peers);
+    Controller::new(Settings::parse(&settings).expect("settings"), 1)
 }
 
 fn now(ms: u64) -> Now {
@@ -117,3 +122,56 @@
         assert!(controller.may_act(), "which the test has to notice");
     }
 }
+
+/// A controller that lost the state service and all peers at once, and no users, heard
+/// of nobody's contact, took it for an outage of all and called itself healthy.
+#[test]
+fn whoever_is_cut_off_alone_is_not_healthy() {
+    let peer = r#"{"member":"n-1","site":"a","endpoint":"10.0.0.2:81"}"#;
+    // What comes back for a watch, and whether the peer is heard, without contact.
+    let healthy_after = |ms: u64, reply: Option<Reply>, hears: bool| {
+        let mut controller = with_peers(peer);
+        controller.store.ready = true;
+        controller.store.contact = Some(now(1000).steady);
+        controller.store.answered = now(1000).steady;
+        let mut at = 1000;
+        while at < 1000 + ms {
+            at += 100;
+            let outputs = controller.handle(now(at), Input::Tick);
+            let calls = outputs.iter().filter_map(|output| match output {
+                Output::Call(call) => Some(call),
+                _ => None,
+            });
+            for call in calls {
+                if call.path.starts_with("/changes")
+                    && let Some(reply) = &reply
+                {
+                    controller.handle(now(at), Input::Reply(call.id, reply.clone()));
+                }
+            }
+            if hears {
+                let message = oliveshift_wire::peer::PeerMessage {
+                    from: "n-1".into(),
+                    incarnation: 7,
+                    contact_ms: None,
+                    base: 0,
+                    upto: 0,
+                    machines: Vec::new(),
+                    over: Vec::new(),
+                    drain: Vec::new(),
+                    preempt: Vec::new(),
+                };
+                controller.hear(9, message);
+            }
+        }
+        controller.healthy()
+    };
+    let refused = || Some(answer(503, Vec::new()));
+    assert!(healthy_after(3000, None, false), "it may be a moment");
+    assert!(!healthy_after(6000, None, false), "cut off alone");
+    assert!(healthy_after(6000, refused(), false), "an outage");
+    assert!(
+        healthy_after(6000, None, true),
+        "peers have no contact either"
+    );
+}
