--- a/crates/testkit/src/evidence.rs
+++ b/crates/testkit/src/evidence.rs
@@ -67,9 +67,9 @@
     /// Requests at the moment of a job's end: cancellations, questions, repeated
     /// submissions.
     pub at_end: [usize; 3],
-    /// Odd requests answered as they should be: repeats of submissions that are
-    /// open, cancellations of what is done, jobs that can't run, jobs that lack a
-    /// field.
+    /// Odd requests: repeats of submissions that are open and cancellations of what
+    /// is done, as they were sent; jobs that can't run and jobs that lack a field,
+    /// as they were refused with the status that each calls for.
     pub odd: [usize; 4],
     /// Answers of the state service that were late by a second or more.
     pub slow_answers: usize,
