--- a/crates/testkit/src/evidence.rs
+++ b/crates/testkit/src/evidence.rs
@@ -52,6 +52,9 @@
 /// Counts and moments, gathered as a day goes on.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
+    /// Times that a controller was told that the changes it asks for are no longer
+    /// kept.
+    pub too_old: usize,
     /// When somebody began to lead, and who.
     pub leaders: Vec<(Duration, usize)>,
     /// When a controller began anew.
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -32,6 +32,8 @@
     revision: u64,
     keys: BTreeMap<String, Entry>,
     log: Vec<(u64, Event)>,
+    /// How many of the newest changes are kept; none: all of them.
+    keeps: Option<usize>,
     holds: BTreeMap<u64, Hold>,
     next_hold: u64,
     limits: Limits,
@@ -40,6 +42,8 @@
     tokens_at: Duration,
     /// Transactions refused for their size, and for coming too fast.
     pub refused: (usize, usize),
+    /// Requests for changes that were no longer kept.
+    pub too_old: usize,
 }
 
 /// What the store takes.
@@ -93,6 +97,12 @@
         self.limits = limits;
     }
 
+    /// Only so many of the newest changes are kept from now on: whoever asks for
+    /// older ones has to read all keys again.
+    pub fn keep_changes(&mut self, most: usize) {
+        self.keeps = Some(most);
+    }
+
     /// Executes a request.
     pub fn execute(&mut self, now: Duration, call: &Call) -> Done {
         let path = call.path.split('?').next().unwrap_or_default();
@@ -129,7 +139,8 @@
                 let block = query(&call.path, "block_ms").and_then(|a| a.parse().ok());
                 let after = after.unwrap_or(0);
                 if block.is_none() || self.revision > after {
-                    Done::Answer(200, self.events(after))
+                    let (status, body) = self.changes(after);
+                    Done::Answer(status, body)
                 } else {
                     let block = Duration::from_millis(block.unwrap_or(0));
                     Done::Wait { after, block }
@@ -161,13 +172,21 @@
         Done::Answer(200, encode(&page))
     }
 
-    /// All changes after a revision.
-    pub fn events(&self, after: u64) -> Vec<u8> {
+    /// The answer to whoever asks for all changes after a revision.
+    pub fn changes(&mut self, after: u64) -> (u16, Vec<u8>) {
+        let most = self.keeps.unwrap_or(usize::MAX);
+        let dropped = self.log.len().saturating_sub(most);
+        if dropped > 0 && self.log[dropped - 1].0 > after {
+            self.too_old += 1;
+            let error = "these changes are no longer kept".to_owned();
+            return (410, encode(&Refusal { error }));
+        }
         let events = self.log.iter().filter(|(r, _)| *r > after);
-        encode(&Events {
+        let events = Events {
             revision: self.revision,
             events: events.map(|(_, e)| e.clone()).collect(),
-        })
+        };
+        (200, encode(&events))
     }
 
     /// A key's version and value.
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -358,6 +358,12 @@
         self.horizon = Some(horizon);
     }
 
+    /// The state service keeps only so many of the newest changes, so that
+    /// controllers that are behind have to read all records again.
+    pub fn keep_changes(&mut self, most: usize) {
+        self.state.keep_changes(most);
+    }
+
     /// More users than there are machines for.
     pub fn crowd(&mut self, seed: u64, crowd: &Crowd) {
         let mut rng = fastrand::Rng::with_seed(seed);
@@ -474,6 +480,7 @@
             broken: self.rules.broken,
             evidence: Evidence {
                 early_starts: std::mem::take(&mut self.rules.starts_on_new),
+                too_old: self.state.too_old,
                 ..self.evidence
             },
             late_starts: self.rules.late_starts,
@@ -528,8 +535,8 @@
                     .any(|w| (w.0, w.1, w.2) == (node, life, id))
                 {
                     self.watches.retain(|w| (w.0, w.1, w.2) != (node, life, id));
-                    let body = self.state.events(after);
-                    self.answer_state(node, life, id, 200, body);
+                    let (status, body) = self.state.changes(after);
+                    self.answer_state(node, life, id, status, body);
                 }
             }
             Event::Reply(node, life, id, reply) => {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -561,8 +561,8 @@
             .partition(|w| w.3 < revision && !self.refused(w.0));
         self.watches = wait;
         for (node, life, id, after) in ready {
-            let body = self.state.events(after);
-            self.answer_state(node, life, id, 200, body);
+            let (status, body) = self.state.changes(after);
+            self.answer_state(node, life, id, status, body);
         }
     }
 }
