Records read anew are used only once they are consistent; invariants at run time

Cause: two faults when a controller has missed more changes than the state service keeps (410) and reads all records again. A second 410, to another request, began the reading anew while a later page was on its way, which was then taken for the first one: accepted jobs and whole blocks were missing. And pages of different moments were taken for one state: a hand-out that the view before had shown could vanish and come back under the same term, and the task was taken to have never been started.

The test a_view_read_anew_does_not_inherit_contact is replaced: contact is that of the changes that made the records consistent.

--- /dev/null
+++ b/crates/core/src/attempt/tests.rs
@@ -0,0 +1,141 @@
+use std::rc::Rc;
+
+use oliveshift_wire::{
+    TaskId,
+    job::{JobSpec, Priority, Shape},
+};
+
+use super::*;
+use crate::{records::MachineRecord, slots::Stop};
+
+const ATTEMPT: u64 = 7;
+
+fn task() -> TaskId {
+    "j-1/0".parse().expect("a task")
+}
+
+fn machine() -> Machine {
+    let record = MachineRecord {
+        block: 1,
+        piece: 0,
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        addr: "10.1.0.1:9000".into(),
+    };
+    let mut machine = Machine::new(record, 5, Duration::ZERO);
+    machine.session = 3;
+    machine.proven = true;
+    machine
+}
+
+fn bound() -> Bound {
+    Bound {
+        machine: "vm-1".into(),
+        attempt: ATTEMPT,
+        session: 3,
+        sent: None,
+        seen: false,
+        running: false,
+        stop: None,
+    }
+}
+
+fn slot(state: State) -> Slot {
+    let spec = JobSpec {
+        id: "j-1".parse().expect("an id"),
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        priority: Priority::Low,
+        tasks: 1,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        awaits: Vec::new(),
+    };
+    Slot {
+        spec: Rc::new(spec),
+        block: 1,
+        handed: 5,
+        state,
+        cancelled: false,
+        avoid: Vec::new(),
+    }
+}
+
+fn entry(state: TaskState, why: Option<Why>) -> TaskReport {
+    TaskReport {
+        task: task(),
+        attempt: ATTEMPT,
+        state,
+        why,
+        saved: None,
+    }
+}
+
+#[test]
+fn a_start_needs_contact_and_a_proven_machine_in_the_same_session() {
+    let contact = Some(Duration::from_secs(1));
+    let decides = |contact, changes: fn(&mut Machine, &mut Bound)| {
+        let (mut machine, mut bound) = (machine(), bound());
+        changes(&mut machine, &mut bound);
+        let attempt = Attempt {
+            machine: &machine,
+            name: "vm-1",
+            slot: None,
+        };
+        attempt.may_start(&bound, contact)
+    };
+    assert_eq!(decides(contact, |_, _| {}), Ok(()));
+    assert_eq!(decides(None, |_, _| {}), Err(NoStart::NoContact));
+    let not_proven = decides(contact, |m, _| m.proven = false);
+    assert_eq!(not_proven, Err(NoStart::NotProven));
+    let expired = decides(contact, |m, _| m.expired = true);
+    assert_eq!(expired, Err(NoStart::LeaseOver));
+    let other_session = decides(contact, |m, _| m.session = 4);
+    assert_eq!(other_session, Err(NoStart::OtherSession));
+    let stops = decides(contact, |_, b| {
+        b.stop = Some(Stop {
+            grace: Duration::ZERO,
+            sent: false,
+        });
+    });
+    assert_eq!(stops, Err(NoStart::Stops));
+}
+
+#[test]
+fn only_ends_that_are_recorded_and_can_not_come_again_are_forgotten() {
+    let done = || entry(TaskState::Exited, Some(Why::Done));
+    let decides = |entry: TaskReport, slot: Option<Slot>, starts_late: bool| {
+        let mut machine = machine();
+        if starts_late {
+            machine.tainted.insert((task(), ATTEMPT));
+        }
+        let attempt = Attempt {
+            machine: &machine,
+            name: "vm-1",
+            slot: slot.as_ref(),
+        };
+        attempt.may_forget(&entry)
+    };
+    assert_eq!(decides(done(), None, false), Ok(()));
+    let runs = decides(entry(TaskState::Running, None), None, false);
+    assert_eq!(runs, Err(Kept::Alive));
+    let bound = decides(done(), Some(slot(State::Bound(bound()))), false);
+    assert_eq!(bound, Err(Kept::StillBound));
+    let unrecorded = decides(done(), Some(slot(State::Done)), false);
+    assert_eq!(unrecorded, Err(Kept::NotRecorded));
+    assert_eq!(decides(done(), None, true), Err(Kept::MayStartLate));
+}
--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    attempt::Nowhere,
     call::ConnId,
     controller::Controller,
     machine::Machine,
@@ -50,8 +51,12 @@
         if let Some(old) = had {
             log::info!("block {id}: lost (term {old})");
             self.drop_block(id);
+            self.invariants.term_lost(id, old);
         }
         let Some(term) = term else { return };
+        if !self.invariants.may_hold(id, term) {
+            return self.leave_membership();
+        }
         log::info!("block {id}: taken under term {term}");
         let held = Held { term, lost: 0 };
         self.held.insert(id, held);
@@ -117,7 +122,7 @@
                 // The leader removes a record only when the machine is gone.
                 if let Some(machine) = self.machines.remove(name) {
                     for task in machine.bound {
-                        self.free(&task, Duration::ZERO);
+                        self.free(&task, Nowhere::MachineGone, Duration::ZERO);
                     }
                     self.find_lost(machine.block);
                 }
@@ -248,7 +253,7 @@
             );
         }
         for task in gone {
-            self.free(&task, Duration::ZERO);
+            self.free(&task, Nowhere::SessionOver, Duration::ZERO);
         }
         for entry in &report.tasks {
             self.take_entry(&name, report.session, entry);
@@ -345,7 +350,7 @@
         let shape = self.slots.get(task).map(|s| s.spec.shape);
         if shape == Some(Shape::Gang) && why != Why::Done {
             // Its gang has to start anew as a whole: the leader decides.
-            return self.give_back(task);
+            return self.give_back(task, Nowhere::Ended(why));
         }
         match why {
             Why::Done => {
@@ -357,7 +362,7 @@
             }
             Why::Stopped | Why::Peers | Why::Alone => {
                 // It was stopped to make room: the leader decides anew.
-                self.give_back(task);
+                self.give_back(task, Nowhere::Ended(why));
                 return;
             }
             Why::Error | Why::Unknown => {
@@ -385,7 +390,7 @@
                 wait = Duration::from_millis(300);
             }
         }
-        self.free(task, wait);
+        self.free(task, Nowhere::Ended(why), wait);
     }
 
     /// Whether a job's tasks have failed on several machines: then it is the
@@ -424,7 +429,7 @@
             }
         }
         for task in gone {
-            self.free(&task, Duration::ZERO);
+            self.free(&task, Nowhere::NotListed, Duration::ZERO);
         }
         if again {
             self.to_order.insert(name.to_owned());
@@ -451,7 +456,7 @@
             lost.len()
         );
         for task in lost {
-            self.free(&task, Duration::ZERO);
+            self.free(&task, Nowhere::BlockProven, Duration::ZERO);
         }
     }
 
@@ -515,7 +520,7 @@
             tasks.len()
         );
         for task in tasks {
-            self.free(&task, Duration::ZERO);
+            self.free(&task, Nowhere::LeaseOver, Duration::ZERO);
         }
         self.find_lost(block);
         self.touch(name);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -26,6 +26,7 @@
     futile::Futile,
     gate::Gate,
     intake::{Class, Intake},
+    invariants::Invariants,
     leader::Leader,
     machine::Machine,
     peers::{Absent, Link, PeerState},
@@ -34,6 +35,7 @@
     records::{BlockId, Key, Level},
     seen::Own,
     slots::Slot,
+    snapshot::SnapshotPart,
     sockets::{Close, Lane, SocketId, Sockets},
     store::{Outcome, Purpose, Store},
     team_use::TeamUse,
@@ -120,8 +122,12 @@
     FirstFound,
     /// Nothing is known about links.
     NoReach,
-    /// The contact that one view had counts for the one that replaces it.
-    ContactOfOldView,
+    /// Records are acted upon as soon as their last page has been read, of whatever
+    /// moments the pages are.
+    PartialView,
+    /// A second answer that changes are no longer kept begins the reading of all
+    /// records anew with a page of the first one still on its way.
+    MixedReads,
     /// Scarce machines are kept for work that its team's limit holds back.
     KeptForNobody,
     /// Tasks of cancelled jobs are left alone.
@@ -153,7 +159,7 @@
 pub(crate) enum Pending {
     NewHold,
     TouchHold,
-    Page,
+    Snapshot(SnapshotPart),
     Watch {
         after: u64,
     },
@@ -240,6 +246,7 @@
     pub(crate) calls: HashMap<CallId, (Pending, Duration)>,
     pub(crate) view: View,
     pub(crate) store: Store,
+    pub(crate) invariants: Invariants,
     pub(crate) admission: Admission,
     /// Our shares of what may be let in.
     pub(crate) gate: Gate,
@@ -312,6 +319,7 @@
             next_call: 0,
             calls: HashMap::new(),
             view: View::default(),
+            invariants: Invariants::default(),
             admission: Admission::default(),
             gate: Gate::default(),
             types: BTreeMap::new(),
@@ -473,6 +481,12 @@
         out
     }
 
+    /// How often an invariant did not hold since the process began: 0, unless this
+    /// program is at fault or the state service has lost data.
+    pub fn violations(&self) -> u64 {
+        self.invariants.violations()
+    }
+
     /// This controller's name.
     pub fn node(&self) -> &str {
         &self.settings.node
@@ -569,7 +583,7 @@
         match pending {
             Pending::NewHold => self.hold_granted(&reply, sent),
             Pending::TouchHold => self.hold_touched(&reply, sent),
-            Pending::Page => self.page_read(&reply),
+            Pending::Snapshot(part) => self.snapshot_read(part, sent, &reply),
             Pending::Watch { after } => self.watched(after, sent, &reply),
             Pending::Read { after, asks } => self.read_done(after, sent, asks, &reply),
             Pending::Txn(purpose, txn) => {
--- /dev/null
+++ b/crates/core/src/invariants/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+
+fn bound() -> Bound {
+    Bound {
+        machine: "vm-1".into(),
+        attempt: 7,
+        session: 3,
+        sent: Some(0),
+        seen: true,
+        running: true,
+        stop: None,
+    }
+}
+
+#[test]
+fn a_term_is_held_once() {
+    let mut invariants = Invariants::default();
+    assert!(invariants.may_hold(1, 5));
+    invariants.term_lost(1, 5);
+    assert!(invariants.may_hold(1, 6) && invariants.may_hold(2, 5));
+    assert_eq!(invariants.violations(), 0);
+    assert!(!invariants.may_hold(1, 5));
+    assert_eq!(invariants.violations(), 1);
+}
+
+#[test]
+fn a_started_task_that_was_dropped_is_remembered_until_its_term_is_over() {
+    let mut invariants = Invariants::default();
+    let [one, other]: [TaskId; 2] = ["j-1/0", "j-1/1"].map(|t| t.parse().expect("a task"));
+    assert!(invariants.take_started(&one).is_none());
+    assert_eq!(invariants.violations(), 0);
+    invariants.started_task_dropped(&one, 1, bound());
+    invariants.started_task_dropped(&other, 2, bound());
+    let again = invariants.take_started(&one).map(|b| b.attempt);
+    assert_eq!(again, Some(7));
+    assert!(
+        invariants.take_started(&one).is_none(),
+        "it is a slot again"
+    );
+    invariants.term_lost(2, 5);
+    assert!(invariants.take_started(&other).is_none());
+    assert_eq!(invariants.violations(), 3);
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! so the same inputs always give the same outputs.
 
 mod admission;
+mod attempt;
 mod blocks;
 mod budget;
 mod call;
@@ -20,6 +21,7 @@
 pub mod gate;
 mod handout;
 mod intake;
+mod invariants;
 mod leader;
 mod links;
 mod lists;
@@ -34,6 +36,7 @@
 mod seen;
 mod serving;
 mod slots;
+mod snapshot;
 pub mod sockets;
 mod starvation;
 mod store;
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -4,15 +4,16 @@
 
 use oliveshift_wire::{
     TaskId, decode, encode,
-    worker::{DirectOrders, Order, Report, TaskState, Why},
+    worker::{DirectOrders, Order, Report, TaskReport, TaskState},
 };
 
 use crate::{
+    attempt::{Attempt, Nowhere},
     call::{Method, Reply, Target},
     controller::{Controller, Pending},
     machine::Machine,
     records::Term,
-    slots::{Origin, State},
+    slots::Origin,
 };
 
 /// When to give direct orders up.
@@ -34,15 +35,9 @@
             return orders;
         };
         for task in machine.bound.clone() {
-            let Some(bound) = self.slots.get_mut(&task).and_then(|s| s.bound_mut()) else {
-                continue;
-            };
-            if !bound.seen && bound.stop.is_none() {
-                bound.sent = Some(seq);
-                orders.push(Order::Start {
-                    task,
-                    attempt: bound.attempt,
-                });
+            let bound = self.slots.get(&task).and_then(|s| s.bound());
+            if bound.is_some_and(|b| !b.seen && b.stop.is_none()) {
+                orders.extend(self.start_order(name, &task, seq));
             }
         }
         orders
@@ -104,21 +99,18 @@
         let Some(machine) = self.machines.get(name) else {
             return Vec::new();
         };
-        let forget = |entry: &&oliveshift_wire::worker::TaskReport| {
+        let may_forget = |entry: &&TaskReport| {
             let slot = self.slots.get(&entry.task);
-            let bound = slot.and_then(|s| s.bound());
-            let here = bound.is_some_and(|b| b.machine == name && b.attempt == entry.attempt);
-            let unrecorded = entry.why == Some(Why::Done)
-                && slot.is_some_and(|s| matches!(s.state, State::Done));
-            entry.state == TaskState::Exited
-                && !here
-                && !unrecorded
-                && !machine.may_start_late(&entry.task, entry.attempt)
+            let attempt = Attempt {
+                machine,
+                name,
+                slot,
+            };
+            attempt.may_forget(entry).is_ok()
         };
-        machine
-            .tasks
-            .iter()
-            .filter(forget)
+        let forgotten = machine.tasks.iter().filter(may_forget);
+        forgotten
+            .inspect(|entry| log::debug!("{}: {name} may forget it", entry.task))
             .map(|entry| Order::Forget {
                 task: entry.task.clone(),
                 attempt: entry.attempt,
@@ -126,6 +118,34 @@
             .collect()
     }
 
+    /// The order to start a task that was placed on a machine, with whatever carries
+    /// it: the answer to a report of this number, or direct orders (0).
+    fn start_order(&mut self, name: &str, task: &TaskId, carried_by: u64) -> Option<Order> {
+        let contact = self.contact_age().filter(|_| self.may_act());
+        let machine = self.machines.get(name)?;
+        let slot = self.slots.get(task)?;
+        let bound = slot.bound()?;
+        let attempt = bound.attempt;
+        let decided = Attempt {
+            machine,
+            name,
+            slot: Some(slot),
+        };
+        if let Err(why) = decided.may_start(bound, contact) {
+            log::debug!("{task}: attempt {attempt} is not started on {name}: {why:?}");
+            return None;
+        }
+        log::debug!(
+            "{task}: attempt {attempt} is started on {name}, session {}, term {}, contact {:?} ago",
+            bound.session,
+            machine.term,
+            contact.unwrap_or_default()
+        );
+        self.slots.get_mut(task)?.bound_mut()?.sent = Some(carried_by);
+        let task = task.clone();
+        Some(Order::Start { task, attempt })
+    }
+
     /// Sends what can't wait for the next report.
     pub(crate) fn send_orders(&mut self) {
         if !self.may_act() {
@@ -156,16 +176,13 @@
             let mut starts = Vec::new();
             let bound = self.machines.get(&name).map(|m| m.bound.clone());
             for task in bound.into_iter().flatten() {
-                let Some(bound) = self.slots.get_mut(&task).and_then(|s| s.bound_mut()) else {
+                let bound = self.slots.get(&task).and_then(|s| s.bound());
+                if bound.is_none_or(|b| b.sent.is_some() || b.stop.is_some()) {
                     continue;
-                };
-                if bound.sent.is_none() && bound.stop.is_none() && bound.session == session {
-                    bound.sent = Some(0);
-                    starts.push((task.clone(), bound.attempt));
-                    orders.push(Order::Start {
-                        task,
-                        attempt: bound.attempt,
-                    });
+                }
+                if let Some(Order::Start { task, attempt }) = self.start_order(&name, &task, 0) {
+                    starts.push((task.clone(), attempt));
+                    orders.push(Order::Start { task, attempt });
                 }
             }
             if orders.is_empty() && !probe {
@@ -287,7 +304,7 @@
             }
             bound.sent = None;
             if bound.stop.is_some() {
-                self.free(task, Duration::ZERO);
+                self.free(task, Nowhere::NotStarted, Duration::ZERO);
             }
         }
         self.to_order.insert(name.to_owned());
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -9,6 +9,7 @@
 use oliveshift_wire::{TaskId, peer::PeerMessage};
 
 use crate::{
+    attempt::Nowhere,
     call::{ConnId, Method, Reply, Target},
     controller::{Controller, Pending},
     seen::Seen,
@@ -211,7 +212,7 @@
         if bound.sent.is_none() {
             // Its start has not gone out, so there is nothing to stop: a stop
             // would wait for ever for the task to appear.
-            return self.give_back(task);
+            return self.give_back(task, Nowhere::NotStarted);
         }
         if bound.stop.is_none() {
             log::info!("{task}: has to make room on {}", bound.machine);
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    attempt::Nowhere,
     controller::Controller,
     records::{BlockId, Phase, Place, Term},
 };
@@ -46,7 +47,7 @@
 }
 
 /// A task on a machine.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Bound {
     pub machine: String,
     pub attempt: u64,
@@ -169,7 +170,9 @@
         match &mut slot.state {
             State::Free { .. } => self.set_state(task, State::Leaving),
             // Its start has not gone out.
-            State::Bound(bound) if bound.sent.is_none() => self.free(task, Duration::ZERO),
+            State::Bound(bound) if bound.sent.is_none() => {
+                self.free(task, Nowhere::NotStarted, Duration::ZERO);
+            }
             State::Bound(bound) => {
                 bound.stop = Some(Stop {
                     grace: Duration::ZERO,
@@ -209,7 +212,7 @@
             let known = self.slots.get(&task).map(|s| (s.block, s.handed));
             match (ours, known) {
                 (None, None) => {}
-                (None, Some(_)) => self.drop_slot(&task),
+                (None, Some(_)) => self.drop_handed(&task),
                 (Some(new), Some(old)) if new == old => {}
                 // The same hand-out, its term over and no longer told.
                 (Some((block, 0)), Some((old, _))) if block == old => {
@@ -219,7 +222,7 @@
                 }
                 (Some((block, term)), known) => {
                     if known.is_some() {
-                        self.drop_slot(&task);
+                        self.drop_handed(&task);
                     }
                     self.add_slot(task, spec.clone(), block, term, cancelled);
                 }
@@ -234,7 +237,7 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in tasks {
-            self.drop_slot(&task);
+            self.drop_handed(&task);
         }
     }
 
@@ -262,11 +265,21 @@
             avoid: Vec::new(),
         };
         self.slots.insert(task.clone(), slot);
-        if ours {
-            self.free(&task, Duration::ZERO);
+        if let Some(bound) = self.started_before(&task) {
+            self.set_state(&task, State::Bound(bound));
+        } else if ours {
+            self.free(&task, Nowhere::HandedUnderOurTerm, Duration::ZERO);
         }
     }
 
+    /// Where a task that is handed to us is by our own start, if that may be so.
+    fn started_before(&mut self, task: &TaskId) -> Option<Bound> {
+        let bound = self.invariants.take_started(task)?;
+        let machine = self.machines.get(&bound.machine)?;
+        let may_be_there = machine.session == bound.session && !machine.expired;
+        may_be_there.then_some(bound)
+    }
+
     /// Changes where a task stands, with all that hangs on it.
     pub(crate) fn set_state(&mut self, task: &TaskId, state: State) {
         let Some(slot) = self.slots.get_mut(task) else {
@@ -326,10 +339,11 @@
     /// wants it any more. A task that an earlier holder was given may have
     /// been moved within the block by that holder, so until every machine of
     /// the block has been proven, it counts as lost instead.
-    pub(crate) fn free(&mut self, task: &TaskId, wait: Duration) {
+    pub(crate) fn free(&mut self, task: &TaskId, evidence: Nowhere, wait: Duration) {
         let Some(slot) = self.slots.get(task) else {
             return;
         };
+        log::debug!("{task}: nowhere in block {}: {evidence}", slot.block);
         let ours = self.held.get(&slot.block).map(|h| h.term) == Some(slot.handed);
         if !ours && let Some((machine, session, entry)) = self.listed_elsewhere(task) {
             self.set_state(task, State::Lost);
@@ -371,14 +385,28 @@
     }
 
     /// The task has stopped for good: the leader decides where it goes next.
-    pub(crate) fn give_back(&mut self, task: &TaskId) {
-        self.free(task, Duration::ZERO);
+    pub(crate) fn give_back(&mut self, task: &TaskId, evidence: Nowhere) {
+        self.free(task, evidence, Duration::ZERO);
         let free = |s: &Slot| matches!(s.state, State::Free { .. });
         if self.slots.get(task).is_some_and(free) {
             self.set_state(task, State::Leaving);
         }
     }
 
+    /// The records no longer hand us a task of a block that we hold.
+    fn drop_handed(&mut self, task: &TaskId) {
+        // Only we may say that it is nowhere or done. If it was started and neither
+        // was said, the task may still run: handed to us again under the same term, it
+        // would be taken to have never been started.
+        if let Some(slot) = self.slots.get_mut(task)
+            && let Some(bound) = slot.bound_mut().filter(|b| b.sent.is_some())
+        {
+            let (bound, block) = (bound.clone(), slot.block);
+            self.invariants.started_task_dropped(task, block, bound);
+        }
+        self.drop_slot(task);
+    }
+
     pub(crate) fn drop_slot(&mut self, task: &TaskId) {
         self.set_state(task, State::Done);
         self.slots.remove(task);
@@ -398,7 +426,7 @@
             .cloned()
             .collect();
         for task in gone {
-            self.drop_slot(&task);
+            self.drop_handed(&task);
         }
         for (id, part) in self.active_chunks(|_| true) {
             self.chunk_changed(&id, part);
--- /dev/null
+++ b/crates/core/src/snapshot/tests.rs
@@ -0,0 +1,72 @@
+use oliveshift_wire::state::Item;
+use rmpv::Value;
+
+use super::*;
+
+fn page(revision: u64, more: bool, keys: &[(&str, u64)]) -> Page {
+    let item = |(key, version): &(&str, u64)| Item {
+        key: format!("{ROOT}{key}"),
+        value: Value::from(1),
+        version: *version,
+    };
+    Page {
+        items: keys.iter().map(item).collect(),
+        more,
+        revision,
+    }
+}
+
+fn changes(revision: u64, events: Vec<Event>) -> Events {
+    Events { revision, events }
+}
+
+fn any(_: &Event) -> bool {
+    true
+}
+
+/// A page that is the only one is of one moment.
+#[test]
+fn one_page_is_consistent() {
+    let mut read = SnapshotRead::new(View::default());
+    assert_eq!(read.next_request().0, SnapshotPart::Page);
+    read.take_page(page(7, false, &[("lowered", 3)]), any);
+    assert!(read.is_consistent(7));
+    let view = read.into_view();
+    assert_eq!((view.revision, view.lowered), (7, 3));
+}
+
+/// Later pages show what was written after the first one: until all changes since
+/// the first page are in, they don't fit together.
+#[test]
+fn several_pages_need_the_changes_since_the_first() {
+    let mut read = SnapshotRead::new(View::default());
+    read.take_page(page(7, true, &[("admission", 3)]), any);
+    assert!(!read.has_all_pages());
+    let (part, path) = read.next_request();
+    assert_eq!(part, SnapshotPart::Page);
+    assert!(path.contains(&format!("after={ROOT}admission&")), "{path}");
+    read.take_page(page(9, false, &[("lowered", 8)]), any);
+    assert!(read.has_all_pages() && !read.is_consistent(0));
+    let (part, path) = read.next_request();
+    assert_eq!(part, SnapshotPart::Changes);
+    assert!(path.ends_with("after=7"), "{path}");
+    // Of a moment before the last page.
+    read.take_changes(changes(8, Vec::new()), any);
+    assert!(!read.is_consistent(0));
+    let key = format!("{ROOT}lowered");
+    let gone = Event::Delete { key, version: 10 };
+    read.take_changes(changes(10, vec![gone]), any);
+    assert!(read.is_consistent(10));
+    let view = read.into_view();
+    assert_eq!((view.revision, view.lowered), (10, 0));
+}
+
+/// What is in use may have gone further meanwhile, by what was read for users.
+#[test]
+fn records_from_before_those_in_use_are_not_used() {
+    let mut read = SnapshotRead::new(View::default());
+    read.take_page(page(7, false, &[]), any);
+    assert!(!read.is_consistent(8));
+    read.take_changes(changes(8, Vec::new()), any);
+    assert!(read.is_consistent(8));
+}
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -16,8 +16,10 @@
     budget::Budget,
     call::{Method, Reply, Target},
     controller::{Controller, Pending},
+    invariants::Violation,
     leader::Duty,
     records::{Key, MemberRecord, ROOT, to_list},
+    snapshot::{SnapshotPart, SnapshotRead},
     upgrade,
     user_writes::WriteId,
     view::View,
@@ -95,6 +97,17 @@
     Unknown,
 }
 
+/// What came of a request for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Taken {
+    /// The view has all changes that there were when it was answered.
+    Changes,
+    /// They are no longer kept.
+    TooOld,
+    /// Nothing that could be used.
+    Nothing,
+}
+
 /// How much a request matters: the share of the budget left for what matters
 /// more.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -143,8 +156,10 @@
     lead_pending: bool,
     /// What came of the last of these two writes shows at this revision.
     session_at: u64,
-    loading: Option<(View, Option<String>)>,
-    page_pending: bool,
+    /// All records are being read, beside the view in use.
+    snapshot: Option<SnapshotRead>,
+    /// A request of that reading is under way.
+    snapshot_pending: bool,
     /// The whole view has been read once.
     pub ready: bool,
     /// When the request was sent whose answer last made the view whole.
@@ -175,8 +190,8 @@
             member_pending: false,
             lead_pending: false,
             session_at: 0,
-            loading: None,
-            page_pending: false,
+            snapshot: None,
+            snapshot_pending: false,
             ready: false,
             contact: None,
             answered: Duration::ZERO,
@@ -332,6 +347,14 @@
         }
     }
 
+    /// Lets our lease run out, so that the leader gives our blocks away under new
+    /// terms; a new lease is taken at once.
+    pub(crate) fn leave_membership(&mut self) {
+        log::info!("we leave and join anew");
+        self.store.hold = None;
+        self.store.touch_at = self.now;
+    }
+
     fn keep_member(&mut self) {
         let Some(hold) = self.store.hold else { return };
         let node = &self.settings.node;
@@ -427,8 +450,8 @@
     }
 
     fn keep_view(&mut self) {
-        if !self.store.ready || self.store.loading.is_some() {
-            self.read_page();
+        if !self.store.ready || self.store.snapshot.is_some() {
+            self.read_snapshot();
         } else if !self.store.watch_pending && self.now >= self.store.watch_at {
             self.store.requests.force(self.now, 1.0);
             self.store.watch_pending = true;
@@ -449,71 +472,101 @@
         view
     }
 
-    fn read_page(&mut self) {
-        if self.store.page_pending || self.now < self.store.watch_at {
+    /// Reads all records: the next page, or the changes since the first one.
+    fn read_snapshot(&mut self) {
+        if self.store.snapshot_pending || self.now < self.store.watch_at {
             return;
         }
         let empty = self.empty_view();
-        let loading = &mut self.store.loading;
-        let (_, after) = loading.get_or_insert_with(|| (empty, None));
-        let from = after
-            .as_ref()
-            .map(|a| format!("&after={a}"))
-            .unwrap_or_default();
-        let path = format!("/kv?starts={ROOT}{from}&most=1000");
+        let snapshot = self.store.snapshot.get_or_insert_with(|| {
+            log::info!("reading all records");
+            SnapshotRead::new(empty)
+        });
+        let (part, path) = snapshot.next_request();
         self.store.requests.force(self.now, 1.0);
-        self.store.page_pending = true;
-        self.state_call(Method::Get, path, Vec::new(), Pending::Page);
+        self.store.snapshot_pending = true;
+        self.state_call(Method::Get, path, Vec::new(), Pending::Snapshot(part));
     }
 
-    pub(crate) fn page_read(&mut self, reply: &Reply) {
-        self.store.page_pending = false;
+    /// A part of all records, asked for at some time, has been answered.
+    pub(crate) fn snapshot_read(&mut self, part: SnapshotPart, sent: Duration, reply: &Reply) {
+        self.store.snapshot_pending = false;
+        let taken = match part {
+            SnapshotPart::Page => self.take_page(reply),
+            SnapshotPart::Changes => self.take_snapshot_changes(reply),
+        };
+        if !taken {
+            return self.back_off();
+        }
+        let in_use = self.view.revision;
+        let consistent = |s: &mut SnapshotRead| s.is_consistent(in_use);
+        #[cfg(feature = "sabotage")]
+        let partial = self.sabotage == Some(crate::Sabotage::PartialView);
+        #[cfg(feature = "sabotage")]
+        let consistent = |s: &mut SnapshotRead| consistent(s) || (partial && s.has_all_pages());
+        match self.store.snapshot.take_if(consistent) {
+            Some(snapshot) => {
+                // Pages alone are no contact: the watch that follows at once is.
+                let is_contact = part == SnapshotPart::Changes;
+                #[cfg(feature = "sabotage")]
+                let is_contact = is_contact || partial;
+                let contact = is_contact.then_some(sent);
+                self.use_view(snapshot.into_view(), contact);
+            }
+            None => self.read_snapshot(),
+        }
+    }
+
+    fn take_page(&mut self, reply: &Reply) -> bool {
         let page = match reply {
             Reply::Answer { status: 200, body } => decode::<Page>(body).ok(),
             _ => None,
         };
-        let Some(page) = page else {
-            self.back_off();
-            return;
-        };
-        let Some((view, after)) = &mut self.store.loading else {
-            return;
-        };
-        // Later pages are newer than the first; the changes since the first
-        // are read by the watch, record by record.
-        if after.is_none() {
-            view.revision = page.revision;
-        }
-        *after = page.items.last().map(|i| i.key.clone());
-        for event in page.items.into_iter().map(Event::from) {
-            #[cfg(feature = "sabotage")]
-            if !upgrade::can_read(self.program, &event) {
-                continue;
+        let program = self.program;
+        match (page, &mut self.store.snapshot) {
+            (Some(page), Some(snapshot)) => {
+                snapshot.take_page(page, |event| upgrade::can_read(program, event));
+                true
             }
-            view.apply(event);
-        }
-        if page.more {
-            self.read_page();
-            return;
+            _ => false,
         }
-        if let Some((view, _)) = self.store.loading.take() {
-            self.view = view;
-            // What was read meanwhile made the view before whole, which went on
-            // further than the first page of this one. Its contact says nothing of
-            // this one: a cancellation in between was missed, and workers were served
-            // for as long beyond the limit.
-            #[cfg(feature = "sabotage")]
-            let keeps = self.sabotage == Some(crate::Sabotage::ContactOfOldView);
-            #[cfg(not(feature = "sabotage"))]
-            let keeps = false;
-            self.store.contact = self.store.contact.filter(|_| keeps);
-            self.store.ready = true;
-            self.store.watch_at = self.now;
-            self.resync();
-            self.store_tick();
+    }
+
+    fn take_snapshot_changes(&mut self, reply: &Reply) -> bool {
+        let program = self.program;
+        match reply {
+            Reply::Answer { status: 200, body } => {
+                let Ok(changes) = decode::<Events>(body) else {
+                    return false;
+                };
+                if let Some(snapshot) = &mut self.store.snapshot {
+                    snapshot.take_changes(changes, |event| upgrade::can_read(program, event));
+                }
+                true
+            }
+            Reply::Answer { status: 410, .. } => {
+                log::info!("reading all records took too long: once more");
+                self.store.snapshot = Some(SnapshotRead::new(self.empty_view()));
+                false
+            }
+            _ => false,
         }
     }
 
+    /// Uses other records, which are not older than those in use and were the state
+    /// service's at some moment after `contact`.
+    fn use_view(&mut self, view: View, contact: Option<Duration>) {
+        self.view = view;
+        self.store.contact = self.store.contact.max(contact);
+        self.store.failures = 0;
+        self.store.ready = true;
+        self.store.watch_at = self.now;
+        self.resync();
+        self.busy_progress();
+        self.cancels_progress();
+        self.store_tick();
+    }
+
     /// Everything that follows from the records, anew.
     fn resync(&mut self) {
         self.members_changed();
@@ -553,10 +606,11 @@
 
     pub(crate) fn watched(&mut self, after: u64, sent: Duration, reply: &Reply) {
         self.store.watch_pending = false;
-        if self.take_events(after, sent, reply) {
-            self.store.watch_at = self.now.max(sent + self.gap(WATCH_GAP, WATCH_SHARE));
-        } else {
-            self.back_off();
+        match self.take_events(after, sent, reply) {
+            Taken::Changes | Taken::TooOld => {
+                self.store.watch_at = self.now.max(sent + self.gap(WATCH_GAP, WATCH_SHARE));
+            }
+            Taken::Nothing => self.back_off(),
         }
         self.keep_view();
     }
@@ -568,26 +622,29 @@
         least.max(Duration::from_secs_f64(1.0 / rate))
     }
 
-    /// Applies what a watch or read brought; false if nothing could be used.
-    fn take_events(&mut self, after: u64, sent: Duration, reply: &Reply) -> bool {
+    /// Applies what a watch or read for the changes after some revision brought.
+    fn take_events(&mut self, after: u64, sent: Duration, reply: &Reply) -> Taken {
         let body = match reply {
             Reply::Answer { status: 200, body } => body,
             Reply::Answer { status: 410, .. } => {
-                log::info!("the state service no longer has our changes: reading all again");
-                self.store.loading = Some((self.empty_view(), None));
-                return true;
+                self.changes_too_old(after);
+                return Taken::TooOld;
             }
             Reply::Answer { status: 429, .. } => {
                 self.store.requests.drain(self.now);
-                return false;
+                return Taken::Nothing;
             }
-            _ => return false,
+            _ => return Taken::Nothing,
         };
         let Ok(events) = decode::<Events>(body) else {
-            return false;
+            return Taken::Nothing;
         };
-        if after > self.view.revision {
-            return false;
+        if events.revision < after {
+            self.invariants.violated(&Violation::RevisionWentBack {
+                known: after,
+                seen: events.revision,
+            });
+            return Taken::Nothing;
         }
         self.apply(events.events);
         self.view.revision = self.view.revision.max(events.revision);
@@ -598,15 +655,35 @@
         self.store.contact = self.store.contact.max(Some(sent));
         self.busy_progress();
         self.cancels_progress();
-        true
+        Taken::Changes
+    }
+
+    /// The state service no longer has the changes after a revision.
+    fn changes_too_old(&mut self, after: u64) {
+        // Several requests may be told so. Beginning anew with a request of the
+        // reading under way, its answer was taken for the first page, and all that
+        // lies before it was missing: accepted jobs were answered with 404, and the
+        // tasks of blocks that came back later were started once more.
+        let is_reading = self.store.snapshot.is_some();
+        #[cfg(feature = "sabotage")]
+        let is_reading = is_reading && self.sabotage != Some(crate::Sabotage::MixedReads);
+        // What has been read since went further than what was asked for.
+        if is_reading || after < self.view.revision {
+            return;
+        }
+        log::info!("the changes after revision {after} are no longer kept: all is read anew");
+        self.store.snapshot = Some(SnapshotRead::new(self.empty_view()));
     }
 
     /// Applies changes, revision by revision: what a transaction has written
     /// holds as a whole. Seen one by one, a machine that moves from one list
     /// to another would be nowhere in between, and its tasks with it.
     fn apply(&mut self, mut events: Vec<Event>) {
-        #[cfg(feature = "sabotage")]
-        events.retain(|event| upgrade::can_read(self.program, event));
+        // The view is whole at its revision. An answer that was overtaken would bring
+        // back what has been deleted since.
+        let known = self.view.revision;
+        let program = self.program;
+        events.retain(|event| event.version() > known && upgrade::can_read(program, event));
         // A job comes before what continues it, as its key does.
         events.sort_by(|a, b| (a.version(), a.key()).cmp(&(b.version(), b.key())));
         let mut events = events.into_iter().peekable();
@@ -646,13 +723,12 @@
 
     pub(crate) fn read_done(&mut self, after: u64, sent: Duration, asks: Vec<Ask>, reply: &Reply) {
         self.store.read_pending = false;
-        let taken = self.take_events(after, sent, reply);
-        if taken {
+        let fresh = self.take_events(after, sent, reply) == Taken::Changes;
+        if fresh {
             // It served as a watch as well.
             let gap = self.gap(WATCH_GAP, WATCH_SHARE);
             self.store.watch_at = self.store.watch_at.max(sent + gap);
         }
-        let fresh = taken && self.store.loading.is_none();
         self.asks_read(asks, fresh);
         self.read_for_asks();
     }
--- a/crates/core/src/store/tests.rs
+++ b/crates/core/src/store/tests.rs
@@ -3,7 +3,7 @@
 use oliveshift_wire::{
     encode,
     settings::Settings,
-    state::{Events, Item, Page},
+    state::{Event, Events, Item, Page},
 };
 
 use crate::{Controller, Input, Now, Output, Reply};
@@ -72,34 +72,42 @@
     assert!(controller.may_act() && controller.in_contact());
 }
 
+fn page(more: bool, revision: u64) -> Reply {
+    let item = Item {
+        key: "oliveshift/lowered".into(),
+        value: rmpv::Value::from(1),
+        version: 9,
+    };
+    let page = Page {
+        items: vec![item],
+        more,
+        revision,
+    };
+    answer(200, encode(&page))
+}
+
+/// A controller that uses records of revision 4 and has just been told that the
+/// changes since are no longer kept; with its request for the first page.
+fn told_too_old(breaks: fn(&mut Controller)) -> (Controller, u64) {
+    let mut controller = controller();
+    breaks(&mut controller);
+    controller.store.ready = true;
+    controller.store.contact = Some(now(1000).steady);
+    controller.view.revision = 4;
+    let outputs = controller.handle(now(1010), Input::Tick);
+    let watch = call(&outputs, "/changes", true);
+    let outputs = controller.handle(now(1100), Input::Reply(watch, answer(410, Vec::new())));
+    let first = call(&outputs, "/kv", false);
+    (controller, first)
+}
+
 /// While all was read anew, a read for a user brought the view before up to date. The
-/// new view is of when its first page was read, and may lack a cancellation that
-/// the one before had: the contact of that one counted for it all the same.
+/// pages are of different moments and may lack a cancellation that the view before
+/// had; that view's contact counted for them all the same.
 #[test]
-fn a_view_read_anew_does_not_inherit_contact() {
-    let replaced = |breaks: fn(&mut Controller)| {
-        let mut controller = controller();
-        breaks(&mut controller);
-        controller.store.ready = true;
-        controller.store.contact = Some(now(1000).steady);
-        controller.view.revision = 4;
-        let outputs = controller.handle(now(1010), Input::Tick);
-        let watch = call(&outputs, "/changes", true);
-        let outputs = controller.handle(now(1100), Input::Reply(watch, answer(410, Vec::new())));
-        let page = |more, revision| {
-            let item = Item {
-                key: "oliveshift/lowered".into(),
-                value: rmpv::Value::from(1),
-                version: 9,
-            };
-            let page = Page {
-                items: vec![item],
-                more,
-                revision,
-            };
-            answer(200, encode(&page))
-        };
-        let first = call(&outputs, "/kv", false);
+fn records_are_used_only_once_they_are_consistent() {
+    let replaced = |breaks| {
+        let (mut controller, first) = told_too_old(breaks);
         controller.poll(7, "j-1");
         let outputs = controller.handle(now(1110), Input::Tick);
         let read = call(&outputs, "/changes", false);
@@ -108,21 +116,92 @@
         controller.handle(now(1130), Input::Reply(read, events(12)));
         assert!(controller.in_contact(), "the view before is whole");
         let outputs = controller.handle(now(1140), Input::Reply(second, page(false, 13)));
-        assert_eq!(controller.view.revision, 10);
-        let watch = call(&outputs, "/changes", true);
-        (controller, watch)
+        (controller, outputs)
     };
-    let (mut controller, watch) = replaced(|_| {});
-    assert!(!controller.may_act() && !controller.in_contact());
-    controller.handle(now(1150), Input::Reply(watch, events(13)));
-    assert!(controller.may_act() && controller.in_contact());
+    let (mut controller, outputs) = replaced(|_| {});
+    assert_eq!(controller.view.revision, 12, "the view before is in use");
+    let changes = call(&outputs, "/changes", false);
+    // It was answered before the last page was.
+    let outputs = controller.handle(now(1150), Input::Reply(changes, events(12)));
+    assert_eq!((controller.view.revision, controller.view.lowered), (12, 0));
+    let changes = call(&outputs, "/changes", false);
+    controller.handle(now(1160), Input::Reply(changes, events(13)));
+    assert_eq!((controller.view.revision, controller.view.lowered), (13, 9));
+    assert_eq!(controller.store.contact, Some(now(1150).steady));
+    #[cfg(feature = "sabotage")]
+    {
+        let (controller, _) = replaced(|c| c.sabotage = Some(crate::Sabotage::PartialView));
+        assert_eq!(controller.view.revision, 10, "which the test has to notice");
+    }
+}
+
+/// Another request was told so as well, while the second page was on its way: that
+/// page was taken for the first one of a new reading.
+#[test]
+fn a_second_answer_that_changes_are_too_old_changes_nothing() {
+    let asked_next = |breaks| {
+        let (mut controller, first) = told_too_old(breaks);
+        controller.poll(7, "j-1");
+        let outputs = controller.handle(now(1110), Input::Tick);
+        let read = call(&outputs, "/changes", false);
+        let outputs = controller.handle(now(1120), Input::Reply(first, page(true, 10)));
+        let second = call(&outputs, "/kv", false);
+        controller.handle(now(1130), Input::Reply(read, answer(410, Vec::new())));
+        let outputs = controller.handle(now(1140), Input::Reply(second, page(false, 13)));
+        let asked = outputs.iter().find_map(|output| match output {
+            Output::Call(call) if !call.path.contains("block_ms") => Some(call.path.clone()),
+            _ => None,
+        });
+        (controller.view.revision, asked)
+    };
+    let since_first = "/changes?starts=oliveshift/&after=10".to_owned();
+    assert_eq!(asked_next(|_| {}), (4, Some(since_first)));
     #[cfg(feature = "sabotage")]
     {
-        let (controller, _) = replaced(|c| c.sabotage = Some(crate::Sabotage::ContactOfOldView));
-        assert!(controller.may_act(), "which the test has to notice");
+        let mixed = asked_next(|c| c.sabotage = Some(crate::Sabotage::MixedReads));
+        assert_eq!(mixed.0, 13, "which the test has to notice");
     }
 }
 
+/// An answer that was overtaken by others tells of changes that are known, and
+/// brought back what had been deleted since.
+#[test]
+fn an_overtaken_answer_brings_nothing_back() {
+    let mut controller = controller();
+    controller.store.ready = true;
+    controller.store.contact = Some(now(1000).steady);
+    controller.view.revision = 4;
+    let outputs = controller.handle(now(1010), Input::Tick);
+    let watch = call(&outputs, "/changes", true);
+    controller.view.revision = 8;
+    let put = Event::Put {
+        key: "oliveshift/lowered".into(),
+        value: rmpv::Value::from(1),
+        version: 6,
+    };
+    let events = Events {
+        revision: 7,
+        events: vec![put],
+    };
+    let reply = answer(200, encode(&events));
+    controller.handle(now(1020), Input::Reply(watch, reply));
+    assert_eq!((controller.view.revision, controller.view.lowered), (8, 0));
+}
+
+/// A state service that has lost data is no contact: what we know may be undone.
+#[test]
+fn a_revision_that_goes_back_is_a_violation_and_no_contact() {
+    let mut controller = controller();
+    controller.store.ready = true;
+    controller.store.contact = Some(now(1000).steady);
+    controller.view.revision = 4;
+    let outputs = controller.handle(now(1010), Input::Tick);
+    let watch = call(&outputs, "/changes", true);
+    controller.handle(now(1020), Input::Reply(watch, events(3)));
+    assert_eq!(controller.violations(), 1);
+    assert_eq!(controller.store.contact, Some(now(1000).steady));
+}
+
 /// A controller that lost the state service and all peers at once, and no users, heard
 /// of nobody's contact, took it for an outage of all and called itself healthy.
 #[test]
--- a/crates/core/src/upgrade.rs
+++ b/crates/core/src/upgrade.rs
@@ -7,22 +7,18 @@
 
 use std::time::Duration;
 
-#[cfg(feature = "sabotage")]
-use oliveshift_wire::state::Event;
 use oliveshift_wire::{
     admin::{ControllerLevel, UpgradeStatus, WriteOff},
     peer::LevelWord,
     settings::StateLimits,
-    state::{Change, Cond, Txn},
+    state::{Change, Cond, Event, Txn},
 };
 use serde::Serialize;
 
-#[cfg(feature = "sabotage")]
-use crate::records::{ChunkRecord, MachineList};
 use crate::{
     call::{ConnId, Method, Output, Reply, Target},
     controller::{Controller, Pending},
-    records::{FormatRecord, Key, Level, LevelRecord, to_map},
+    records::{ChunkRecord, FormatRecord, Key, Level, LevelRecord, MachineList, to_map},
     store::{Outcome, Purpose, Urgency},
 };
 
@@ -362,8 +358,8 @@
 }
 
 /// Whether a program of a level can read a change: one of the first level
-/// knows neither the newer keys nor the newer forms.
-#[cfg(feature = "sabotage")]
+/// knows neither the newer keys nor the newer forms. This program is always of the
+/// newest level but where tests stand in for an older one.
 pub(crate) fn can_read(program: Level, event: &Event) -> bool {
     if program >= Level::PIPELINES {
         return true;
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -37,6 +37,8 @@
     /// A job was accepted that can't run or lacks a field, or was refused with
     /// another status than that calls for.
     Unfit,
+    /// A controller has found an invariant of its own violated.
+    Invariant,
     /// A job was left waiting though a machine that fits had room and its team was
     /// under its limit, with no trouble left.
     LeftWaiting,
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -74,6 +74,8 @@
     through: [Duration; 2],
     /// It is slow and has a turn to come.
     turning: bool,
+    /// How many violated invariants it has counted in this life.
+    violations: u64,
 }
 
 enum Event {
@@ -267,6 +269,7 @@
             frozen: Vec::new(),
             through: [Duration::ZERO; 2],
             turning: false,
+            violations: 0,
         });
         let mut world = Self {
             now: Duration::ZERO,
--- a/crates/testkit/src/world/processes.rs
+++ b/crates/testkit/src/world/processes.rs
@@ -6,7 +6,7 @@
 use oliveshift_core::{Close, Controller, Input, Method, Now, Output, Request, Side, SocketId};
 
 use super::{Asker, Event, MS, NODES, S, World};
-use crate::{faults::Fault, net::Sockets};
+use crate::{faults::Fault, net::Sockets, rules::Broken};
 
 impl World {
     pub(super) fn crash(&mut self, node: usize, back: Duration) {
@@ -108,12 +108,24 @@
             controller.take(now, input)
         };
         let due = controller.is_due();
+        self.watch_invariants(node);
         self.leaves(node, outputs);
         if due {
             self.turn_after(node, slow);
         }
     }
 
+    /// Notes that a controller has found an invariant of its own violated.
+    fn watch_invariants(&mut self, node: usize) {
+        let controller = self.nodes[node].controller.as_ref();
+        let violations = controller.map_or(0, Controller::violations);
+        let seen = std::mem::replace(&mut self.nodes[node].violations, violations);
+        if violations > seen {
+            let what = format!("controller {node}");
+            self.rules.found(self.now, Broken::Invariant, what);
+        }
+    }
+
     pub(super) fn turn_after(&mut self, node: usize, after: Duration) {
         if !std::mem::replace(&mut self.nodes[node].turning, true) {
             let life = self.nodes[node].life;
@@ -133,6 +145,7 @@
         let due = controller.is_due();
         let answers = outputs.iter().filter(|o| matches!(o, Output::Answer(_)));
         let takes = slow * answers.count().max(1) as u32;
+        self.watch_invariants(node);
         self.leaves(node, outputs);
         if due {
             self.turn_after(node, takes);
--- a/crates/testkit/tests/reread.rs
+++ b/crates/testkit/tests/reread.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use oliveshift_testkit::{Fault, Outcome, World};
+use oliveshift_core::Sabotage;
+use oliveshift_testkit::{Broken, Fault, Outcome, World};
 
 const S: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
@@ -44,13 +45,13 @@
     faults
 }
 
-fn day(seed: u64) -> Outcome {
+fn day(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
     let _ = env_logger::Builder::from_default_env()
         .is_test(true)
         .try_init();
     let mut rng = fastrand::Rng::with_seed(seed);
     let faults = short_cuts(&mut rng);
-    let mut world = World::new(seed, BUSY, faults, None);
+    let mut world = World::new(seed, BUSY, faults, sabotage);
     world.keep_changes(rng.usize(2..8));
     world.run(END)
 }
@@ -65,10 +66,32 @@
 fn records_read_anew_break_no_rule() {
     let mut too_old = 0;
     for seed in 0..40 {
-        let outcome = day(seed);
+        let outcome = day(seed, None);
         assert_eq!(outcome.broken, [], "seed {seed}");
         assert_eq!(outcome.open, [], "seed {seed}");
         too_old += outcome.evidence.too_old;
     }
     assert!(too_old > 200, "{too_old} times");
 }
+
+/// Whether breaking a guard on purpose breaks one of these rules on some day.
+fn is_caught(sabotage: Sabotage, rules: &[Broken]) {
+    let caught = (0..40).any(|seed| {
+        let broken = day(seed, Some(sabotage)).broken;
+        broken.iter().any(|(_, rule, _)| rules.contains(rule))
+    });
+    assert!(caught, "{sabotage:?} went unnoticed");
+}
+
+#[test]
+fn acting_on_pages_of_different_moments_is_caught() {
+    is_caught(
+        Sabotage::PartialView,
+        &[Broken::RanTwice, Broken::Invariant],
+    );
+}
+
+#[test]
+fn mixing_two_readings_up_is_caught() {
+    is_caught(Sabotage::MixedReads, &[Broken::Forgotten]);
+}
