oliveshift-soak: real controllers on loopback under random faults, judged from outside

State service, cloud, workers and users are stand-ins in one process that share their models with the simulated world; controllers are processes of the program, killed, paused, refused, held up and misled at random moments by seed.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -148,6 +148,21 @@
 
 #[cfg(feature = "sabotage")]
 impl Sabotage {
+    /// The way of this name, of those that a controller as a process can be given.
+    pub fn named(name: &str) -> Option<Self> {
+        let ways = [
+            Self::NoStops,
+            Self::NoProof,
+            Self::NoContactLimit,
+            Self::FromMemory,
+            Self::OldLife,
+            Self::NoLateStarts,
+            Self::MixedReads,
+            Self::PartialView,
+        ];
+        ways.into_iter().find(|way| format!("{way:?}") == name)
+    }
+
     /// Whether a job is one of the few that some of these are about.
     pub(crate) fn hits(id: &oliveshift_wire::JobId) -> bool {
         id.digits().ends_with(['1', '5', '8'])
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -91,7 +91,7 @@
         peers: peers.map(|p| (p.node.clone(), p.addr.into())).collect(),
         state: services.state.into(),
         cloud: services.cloud.into(),
-        controller: RefCell::new(Controller::new(settings, seed())),
+        controller: RefCell::new(controller(settings)),
     });
     log::info!("{node}: starting, users and workers on {public}, controllers on {internal}");
     let tasks = runtime.clone();
@@ -116,6 +116,23 @@
     }))
 }
 
+/// The state machine, whole.
+#[cfg(not(feature = "sabotage"))]
+fn controller(settings: Settings) -> Controller {
+    Controller::new(settings, seed())
+}
+
+/// The state machine, with the guard switched off that `OLIVESHIFT_SABOTAGE` names.
+#[cfg(feature = "sabotage")]
+fn controller(settings: Settings) -> Controller {
+    let mut controller = Controller::new(settings, seed());
+    if let Ok(name) = std::env::var("OLIVESHIFT_SABOTAGE") {
+        controller.sabotage = oliveshift_core::Sabotage::named(&name);
+        log::error!("broken on purpose: {:?}", controller.sabotage);
+    }
+    controller
+}
+
 /// Another one at each start, even where the system's randomness is poor.
 fn seed() -> u64 {
     let day = SystemTime::now().duration_since(UNIX_EPOCH);
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,257 @@
+//! The world outside the controllers: one model for all stand-ins, in real time.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddrV4,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use oliveshift_core::{Call, Method, Target};
+use oliveshift_testkit::{
+    Rules, State, StateLimits, cloud::Cloud, rules::Site as Place, worker::Worker,
+};
+use oliveshift_wire::worker::Report;
+
+use crate::{
+    faults::{Fault, Timed},
+    http::Asked,
+};
+
+/// The zones of the site.
+pub const ZONES: [&str; 2] = ["east", "west"];
+/// The lease of a worker, and the time until tasks of cancelled jobs are gone.
+pub const LEASE: Duration = Duration::from_secs(12);
+pub const CANCEL: Duration = Duration::from_secs(30);
+/// What the state service takes.
+pub const VALUE_KB: usize = 16;
+pub const TXN_OPS: usize = 20;
+/// Machines are of types that have so many processors together, by six.
+pub const CPUS_OF_SIX: f64 = 48.0;
+/// How often time passes for all machines, at least.
+const PASS_EVERY: Duration = Duration::from_millis(10);
+
+/// The site, shared by all that serve and ask.
+pub type Shared = Rc<RefCell<Site>>;
+
+/// A machine that is up.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its worker.
+    pub worker: Worker,
+    /// Where the worker listens.
+    pub address: SocketAddrV4,
+}
+
+/// All that the controllers deal with.
+pub struct Site {
+    started: Instant,
+    /// The state service.
+    pub state: State,
+    /// The cloud.
+    pub cloud: Cloud,
+    /// Machines that are up, by name.
+    pub machines: BTreeMap<String, Machine>,
+    /// Watches the rules.
+    pub rules: Rules,
+    /// What goes wrong when.
+    pub faults: Vec<Timed>,
+    /// For what is drawn while it runs.
+    pub rng: fastrand::Rng,
+    passed: Duration,
+    was_out: bool,
+}
+
+impl Site {
+    /// A site with some machines up.
+    pub fn new(machines: u32, write_rps: f64, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let zones = ZONES.map(String::from);
+        let factor = f64::from(machines) / 6.0;
+        let limits = [("red", 40.0), ("blue", 24.0)];
+        let limits = limits.map(|(team, cpus)| (team.to_owned(), cpus * factor));
+        let mut cloud = Cloud::new(&zones, rng.u64(..));
+        cloud.capacity = (cloud.capacity as f64 * factor).ceil() as usize;
+        for i in 0..machines as usize {
+            let kind = if i % 6 < 4 { "small" } else { "large" };
+            cloud.give(Duration::ZERO, kind, ZONES[i % 2], i % 3 == 0);
+        }
+        let mut state = State::new(StateLimits {
+            txn_ops: TXN_OPS,
+            value_bytes: VALUE_KB * 1024,
+            write_rps,
+        });
+        state.keep_changes(rng.usize(30..2000));
+        Self {
+            started: Instant::now(),
+            state,
+            cloud,
+            machines: BTreeMap::new(),
+            rules: Rules::new(limits.into(), CANCEL),
+            faults: Vec::new(),
+            rng,
+            passed: Duration::ZERO,
+            was_out: false,
+        }
+    }
+
+    /// Time since the beginning.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The fault of a kind that lasts now, and until when.
+    pub fn lasting<T>(&self, kind: impl Fn(&Fault) -> Option<T>) -> Option<(T, Duration)> {
+        let now = self.now();
+        let mut lasting = self.faults.iter().filter(|t| t.lasts(now));
+        lasting.find_map(|t| Some((kind(&t.fault)?, t.until())))
+    }
+
+    /// Whether one in so many of something is meant, if such a fault lasts.
+    pub fn is_chosen(&mut self, one_in: impl Fn(&Fault) -> Option<u32>) -> bool {
+        let one_in = self.lasting(one_in);
+        one_in.is_some_and(|(one_in, _)| self.rng.u32(0..one_in.max(1)) == 0)
+    }
+
+    /// Whether the state service refuses everybody.
+    pub fn is_out(&self) -> bool {
+        let outage = |f: &Fault| matches!(f, Fault::Outage).then_some(());
+        self.lasting(outage).is_some()
+    }
+
+    /// Until when a machine hangs.
+    pub fn hangs(&self, name: &str) -> Option<Duration> {
+        let until = self.lasting(|f| match f {
+            Fault::Hang { rest } if is_of(name, *rest) => Some(()),
+            _ => None,
+        });
+        until.map(|(_, until)| until)
+    }
+
+    /// Whether answers and orders to a machine are lost.
+    pub fn is_deaf(&self, name: &str) -> bool {
+        let deaf = self.lasting(|f| match f {
+            Fault::Deaf { rest } if is_of(name, *rest) => Some(()),
+            _ => None,
+        });
+        deaf.is_some()
+    }
+
+    /// Whether a machine reaches no controller.
+    pub fn is_mute(&self, name: &str) -> bool {
+        let mute = self.lasting(|f| match f {
+            Fault::Mute { rest } if is_of(name, *rest) => Some(()),
+            _ => None,
+        });
+        mute.is_some()
+    }
+
+    /// Lets time pass for the leases and all machines. Called before anything else
+    /// happens: if this process is late, leases that are over have to end before what
+    /// comes after their end.
+    pub fn pass(&mut self) {
+        let now = self.now();
+        if now < self.passed + PASS_EVERY {
+            return;
+        }
+        self.passed = now;
+        let is_out = self.is_out();
+        if std::mem::replace(&mut self.was_out, is_out) && !is_out {
+            self.state.refresh_leases(now);
+        }
+        if !is_out {
+            self.state.pass(now);
+        }
+        let hanging: Vec<_> = self.machines.keys().map(|name| self.hangs(name)).collect();
+        for (machine, hangs) in self.machines.values_mut().zip(hanging) {
+            match hangs {
+                Some(_) => machine.worker.hangs(now, &mut self.rules),
+                None => machine.worker.pass(now, &mut self.rules),
+            }
+        }
+        self.rules.watch_cancelled(now);
+    }
+
+    /// The names of machines that are up and have no worker yet.
+    pub fn without_worker(&self) -> Vec<String> {
+        let now = self.now();
+        let cloud = self.cloud.machines.iter();
+        let up = cloud.filter(|(name, m)| {
+            let is_up = m.gone.is_none() && m.up.is_some_and(|up| up <= now);
+            is_up && !self.machines.contains_key(*name)
+        });
+        up.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A machine's worker begins, and listens at an address.
+    pub fn begin_worker(&mut self, name: &str, address: SocketAddrV4) {
+        let now = self.now();
+        let Some(rented) = self.cloud.machines.get(name).cloned() else {
+            return;
+        };
+        let kind = self.cloud.types.iter().find(|t| t.name == rented.kind);
+        let Some(kind) = kind.cloned() else { return };
+        let place = Place {
+            kind: rented.kind,
+            zone: rented.zone,
+            spot: rented.spot,
+        };
+        let worker = Worker::new(name.to_owned(), place, kind, LEASE, now);
+        let machine = Machine { worker, address };
+        self.machines.insert(name.to_owned(), machine);
+    }
+
+    /// A machine is gone with all that is on it.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(mut machine) = self.machines.remove(name) {
+            machine.worker.die(&mut self.rules);
+        }
+    }
+
+    /// A worker's next message.
+    pub fn report(&mut self, name: &str) -> Option<Report> {
+        let now = self.now();
+        let machine = self.machines.get_mut(name)?;
+        let mut report = machine.worker.report(now);
+        report.addr = machine.address.to_string();
+        Some(report)
+    }
+}
+
+/// Whether a machine is one of those that a fault befalls.
+fn is_of(name: &str, rest: u32) -> bool {
+    number_of(name) % 4 == rest
+}
+
+fn number_of(name: &str) -> u32 {
+    name.trim_start_matches("vm-").parse().unwrap_or(0)
+}
+
+/// What the stand-ins of the simulated world take.
+pub fn call(to: Target, asked: Asked) -> Call {
+    Call {
+        id: 0,
+        to,
+        method: asked.method,
+        path: asked.path,
+        body: asked.body,
+        timeout: Duration::ZERO,
+    }
+}
+
+/// Waits until some time since the beginning.
+pub async fn until(site: &Shared, at: Duration) {
+    let left = at.saturating_sub(site.borrow().now());
+    Timer::after(left).await;
+}
+
+/// A request to the controllers.
+pub fn request(method: Method, path: &str, body: Vec<u8>) -> Asked {
+    Asked {
+        method,
+        path: path.to_owned(),
+        body,
+    }
+}
