--- /dev/null
+++ b/crates/core/src/recorder/tests.rs
@@ -0,0 +1,183 @@
+use oliveshift_wire::{
+    encode,
+    job::{JobSpec, Priority, Shape},
+    settings::Settings,
+    state::{Event, TxnAnswer},
+};
+use rmpv::Value;
+
+use super::*;
+use crate::{
+    call::{Output, Reply},
+    controller::{Input, Now},
+    records::{FormatRecord, to_list, to_map},
+};
+
+/// A hand-out whose answer was lost counted as not executed once its
+/// repeat was refused as one too many: what it had handed out was then
+/// free for others, beyond their team's limit.
+#[test]
+fn a_refused_repeat_proves_nothing() {
+    let now = Duration::from_secs(9);
+    for refused in [Outcome::Refused, Outcome::Impossible] {
+        assert_eq!(Step::after(refused, false, now), None);
+        let again = Some(Step::Again(now + RETRY));
+        assert_eq!(Step::after(refused, true, now), again);
+    }
+    for in_doubt in [false, true] {
+        let shown = Some(Step::Until(7));
+        assert_eq!(Step::after(Outcome::Done(7), in_doubt, now), shown);
+        assert_eq!(Step::after(Outcome::Conflict(7), in_doubt, now), shown);
+    }
+}
+
+fn controller() -> Controller {
+    let settings = r#"{"member":"n-0","site":"a","bind":"10.0.0.1:80",
+        "internal_addr":"10.0.0.1:81","members":[],
+        "outside":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
+        "deployment":{"zones":["a"],"teams":[],
+        "workers":{"report_s":2,"lease_s":12,"cancel_s":30},
+        "state":{"rps":100,"write_rps":50,"value_kb":16,"txn_ops":20,
+            "next":{"write_rps":20,"value_kb":2,"txn_ops":6}},
+        "cloud":{"rps":6,"list_lag_s":3},"limits":{"max_sockets":100}}}"#;
+    Controller::new(Settings::parse(settings).expect("good settings"), 1)
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        id: "j-1".parse().expect("an id"),
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        priority: Priority::Low,
+        tasks: 256,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        awaits: Vec::new(),
+    }
+}
+
+fn sent(outputs: &[Output]) -> Vec<(u64, Txn)> {
+    let calls = outputs.iter().filter_map(|output| match output {
+        Output::Call(call) if call.path == "/multi" => {
+            Some((call.id, oliveshift_wire::decode(&call.body).ok()?))
+        }
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// The first level's record of a chunk is larger than the service takes by
+/// now, and so is a write of it that got no answer. Its repeat would be
+/// refused for ever.
+#[test]
+fn a_write_in_doubt_that_is_too_large_is_settled_by_a_small_one() {
+    let mut controller = controller();
+    let id = spec().id;
+    let put = |key: &Key, value: Value, version| Event::Put {
+        key: key.path(),
+        value,
+        version,
+    };
+    let handed = |i: u32| Place::Handed {
+        block: i % 60,
+        term: 900_000 + u64::from(i),
+    };
+    let mut places: Vec<_> = (0..256).map(handed).collect();
+    let record = |places: &[Place]| ChunkRecord::pack(Level::FIRST, 0, places);
+    let old = record(&places).expect("it fits").to_value();
+    assert!(json_len(&old) > 4096);
+    let job = JobRecord {
+        phase: Phase::Open,
+        tasks: 256,
+        at_ms: 1,
+        chunk: 256,
+        spec: Some(spec()),
+        more: 0,
+        done_ms: None,
+        service: false,
+    };
+    let (chunk, format) = (Key::Chunk(id.clone(), 0), Key::Format);
+    let level = Level::PIPELINES;
+    for event in [
+        put(&Key::Job(id.clone()), to_list(&job), 2),
+        put(&chunk, old, 3),
+        put(&format, to_map(&FormatRecord { level }), 4),
+    ] {
+        controller.view.apply(event);
+    }
+    // Sent before the switch and never answered; then refused.
+    places[7] = Place::Waiting;
+    let value = record(&places).expect("it fits").to_value();
+    let txn = Txn {
+        conds: vec![Cond {
+            key: chunk.path(),
+            version: 3,
+        }],
+        changes: vec![Change::Put {
+            key: chunk.path(),
+            value,
+            lease: None,
+        }],
+    };
+    assert!(!controller.fits(&txn));
+    let key = (id.clone(), 0);
+    let busy = Busy {
+        base: 3,
+        txn,
+        step: Step::Again(Duration::ZERO),
+        in_doubt: true,
+        impossible: true,
+        handed: vec![(7, 1)],
+    };
+    controller.busy.insert(key.clone(), busy);
+    let now = |s| Now {
+        steady: Duration::from_secs(s),
+        day: Duration::from_secs(1_800_000_000 + s),
+    };
+    controller.now = now(1).steady;
+    controller.busy_progress();
+    let outputs = controller.handle(now(2), Input::Tick);
+    let [(call, txn)] = &sent(&outputs)[..] else {
+        panic!("one write");
+    };
+    assert!(controller.fits(txn), "{}", json_len(txn));
+    assert!(
+        txn.conds
+            .iter()
+            .any(|c| c.key == chunk.path() && c.version == 3)
+    );
+    assert!(controller.busy.contains_key(&key));
+    // It is executed: the other one never will be.
+    let body = encode(&TxnAnswer {
+        revision: 5,
+        failed: Vec::new(),
+    });
+    let reply = Reply::Answer { status: 200, body };
+    controller.handle(now(3), Input::Reply(*call, reply));
+    let [Change::Put { value, .. }] = &txn.changes[..] else {
+        panic!("one change");
+    };
+    controller.view.apply(put(&chunk, value.clone(), 5));
+    controller.busy_progress();
+    assert!(controller.busy.is_empty());
+    let whole = |place: Place| match place {
+        Place::Handed { block, .. } => block,
+        _ => panic!("handed as before"),
+    };
+    let places = &controller.view.jobs[&id].chunks[&0].places;
+    let blocks: Vec<_> = places.iter().copied().map(whole).collect();
+    assert_eq!(blocks, (0..256).map(|i| i % 60).collect::<Vec<_>>());
+}
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -30,6 +30,9 @@
 pub const TXN_OPS: usize = 20;
 /// Machines are of types that have so many processors together, by six.
 pub const CPUS_OF_SIX: f64 = 48.0;
+/// How many changes the state service keeps: few, so that short cuts make controllers
+/// read all records again.
+const KEPT_CHANGES: std::ops::Range<usize> = 3..60;
 /// How often time passes for all machines, at least.
 const PASS_EVERY: Duration = Duration::from_millis(10);
 
@@ -83,7 +86,7 @@
             value_bytes: VALUE_KB * 1024,
             write_rps,
         });
-        state.keep_changes(rng.usize(30..2000));
+        state.keep_changes(rng.usize(KEPT_CHANGES));
         Self {
             started: Instant::now(),
             state,
