--- a/crates/core/src/attempt/tests.rs
+++ b/crates/core/src/attempt/tests.rs
@@ -1,12 +1,9 @@
 use std::rc::Rc;
 
-use oliveshift_wire::{
-    TaskId,
-    job::{JobSpec, Priority, Shape},
-};
+use oliveshift_wire::TaskId;
 
 use super::*;
-use crate::{records::MachineRecord, slots::Stop};
+use crate::{fixtures::job_spec, records::MachineRecord, slots::Stop};
 
 const ATTEMPT: u64 = 7;
 
@@ -42,31 +39,8 @@
 }
 
 fn slot(state: State) -> Slot {
-    let spec = JobSpec {
-        id: "j-1".parse().expect("an id"),
-        class: "c".into(),
-        team: "t".into(),
-        shape: Shape::Array,
-        priority: Priority::Low,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        awaits: Vec::new(),
-    };
     Slot {
-        spec: Rc::new(spec),
+        spec: Rc::new(job_spec()),
         block: 1,
         handed: 5,
         state,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,8 @@
 mod controller;
 mod drain;
 mod due;
+#[cfg(test)]
+mod fixtures;
 mod fleet;
 pub mod floors;
 mod futile;
--- a/crates/core/src/recorder/tests.rs
+++ b/crates/core/src/recorder/tests.rs
@@ -1,6 +1,6 @@
 use oliveshift_wire::{
     encode,
-    job::{JobSpec, Priority, Shape},
+    job::JobSpec,
     settings::Settings,
     state::{Event, TxnAnswer},
 };
@@ -10,6 +10,7 @@
 use crate::{
     call::{Output, Reply},
     controller::{Input, Now},
+    fixtures::job_spec,
     records::{FormatRecord, to_list, to_map},
 };
 
@@ -45,27 +46,8 @@
 
 fn spec() -> JobSpec {
     JobSpec {
-        id: "j-1".parse().expect("an id"),
-        class: "c".into(),
-        team: "t".into(),
-        shape: Shape::Array,
-        priority: Priority::Low,
         tasks: 256,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        awaits: Vec::new(),
+        ..job_spec()
     }
 }
 
--- a/crates/core/src/slots/tests.rs
+++ b/crates/core/src/slots/tests.rs
@@ -1,14 +1,10 @@
-use oliveshift_wire::{
-    job::{Priority, Shape},
-    settings::Settings,
-    state::Event,
-    worker::Report,
-};
+use oliveshift_wire::{settings::Settings, state::Event, worker::Report};
 
 use super::*;
 use crate::{
     controller::Input,
     controller::Now,
+    fixtures::job_spec,
     records::{
         BlockRecord, ChunkRecord, JobRecord, Key, Level, ListedMachine, MachineList, to_list,
     },
@@ -105,29 +101,7 @@
         let mut controller = Controller::new(Settings::parse(settings).expect("settings"), 1);
         breaks(&mut controller);
         let id: JobId = "j-1".parse().expect("an id");
-        let spec = JobSpec {
-            id: id.clone(),
-            class: "c".into(),
-            team: "t".into(),
-            shape: Shape::Array,
-            priority: Priority::Low,
-            tasks: 1,
-            cpus: 1.0,
-            gpus: 0.0,
-            memory_gb: 1.0,
-            image: "i".into(),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            estimate_s: 1.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-            awaits: Vec::new(),
-        };
+        let spec = job_spec();
         let block = BlockRecord {
             zone: "a".into(),
             holder: "n-0".into(),
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -6,9 +6,7 @@
 use oliveshift_wire::{
     JobId, decode, encode,
     settings::Settings,
-    state::{
-        Change, Cond, Event, Events, LeaseGrant, MAX_TXN, NewLease, Page, Txn, TxnAnswer, json_len,
-    },
+    state::{Change, Event, Events, MAX_TXN, Page, Txn, TxnAnswer, json_len},
 };
 
 use crate::{
@@ -18,7 +16,7 @@
     controller::{Controller, Pending},
     invariants::Violation,
     leader::Duty,
-    records::{Key, MemberRecord, ROOT, to_list},
+    records::{Key, ROOT},
     snapshot::{SnapshotPart, SnapshotRead},
     upgrade,
     user_writes::WriteId,
@@ -302,153 +300,6 @@
         self.call(Target::State, method, path, body, timeout, pending);
     }
 
-    fn keep_hold(&mut self) {
-        if self.store.hold_pending || self.now < self.store.touch_at {
-            return;
-        }
-        self.store.requests.force(self.now, 1.0);
-        self.store.hold_pending = true;
-        match self.store.hold {
-            None => {
-                let ttl_ms = self.tuning.member_lease.as_millis() as u64;
-                let body = encode(&NewLease { ttl_ms });
-                self.state_call(Method::Post, "/holds".into(), body, Pending::NewHold);
-            }
-            Some(hold) => {
-                let path = format!("/holds/{hold}/touch");
-                self.state_call(Method::Post, path, Vec::new(), Pending::TouchHold);
-            }
-        }
-    }
-
-    pub(crate) fn hold_granted(&mut self, reply: &Reply, sent: Duration) {
-        self.store.hold_pending = false;
-        self.store.touch_at = self.now + Duration::from_millis(300);
-        if let Reply::Answer { status: 200, body } = reply
-            && let Ok(grant) = decode::<LeaseGrant>(body)
-        {
-            self.store.hold = Some(grant.lease);
-            self.store.touch_at = sent + self.tuning.member_lease / 3;
-        }
-    }
-
-    pub(crate) fn hold_touched(&mut self, reply: &Reply, sent: Duration) {
-        self.store.hold_pending = false;
-        match reply {
-            Reply::Answer { status: 404, .. } => {
-                log::info!("our lease at the state service has run out");
-                self.store.hold = None;
-                self.store.touch_at = self.now;
-            }
-            Reply::Answer { status: 200, .. } => {
-                self.store.touch_at = sent + self.tuning.member_lease / 3;
-            }
-            _ => self.store.touch_at = self.now + Duration::from_millis(250),
-        }
-    }
-
-    /// Lets our lease run out, so that the leader gives our blocks away under new
-    /// terms; a new lease is taken at once.
-    pub(crate) fn leave_membership(&mut self) {
-        log::info!("we leave and join anew");
-        self.store.hold = None;
-        self.store.touch_at = self.now;
-    }
-
-    fn keep_member(&mut self) {
-        let Some(hold) = self.store.hold else { return };
-        let node = &self.settings.node;
-        let listed = self.view.members.get(node);
-        let ours = listed.is_some_and(|m| m.record.incarnation == self.incarnation);
-        let waits = self.store.member_pending || self.view.revision < self.store.session_at;
-        if ours || waits || !self.store.ready || self.is_founding() {
-            return;
-        }
-        let record = self.member_record();
-        let key = Key::Member(node.clone()).path();
-        let txn = Txn {
-            // A late copy of what a process of our name from before has written
-            // must not put its record in the place of ours.
-            conds: vec![Cond {
-                key: key.clone(),
-                version: listed.map_or(0, |m| m.version),
-            }],
-            changes: vec![Change::Put {
-                key,
-                value: to_list(&record),
-                lease: Some(hold),
-            }],
-        };
-        self.store.member_pending = self.txn(txn, Purpose::Member, Urgency::Session);
-    }
-
-    fn member_record(&self) -> MemberRecord {
-        MemberRecord {
-            node: self.settings.node.clone(),
-            incarnation: self.incarnation,
-            zone: self.settings.zone.clone(),
-        }
-    }
-
-    pub(crate) fn member_written(&mut self, outcome: Outcome) {
-        self.store.member_pending = false;
-        self.session_written(outcome);
-    }
-
-    fn session_written(&mut self, outcome: Outcome) {
-        match outcome {
-            Outcome::NoLease => {
-                self.store.hold = None;
-                self.store.touch_at = self.now;
-            }
-            Outcome::Done(revision) | Outcome::Conflict(revision) => {
-                self.store.session_at = self.store.session_at.max(revision);
-            }
-            Outcome::Refused | Outcome::Impossible | Outcome::Unknown => {}
-        }
-    }
-
-    /// Takes the lead when nobody has it, or when it belongs to an earlier
-    /// incarnation of this very controller, which is surely gone.
-    fn seek_leadership(&mut self) {
-        let modest = self.is_modest();
-        let Some(hold) = self.store.hold.filter(|_| !modest) else {
-            return;
-        };
-        let waits = self.store.lead_pending || self.view.revision < self.store.session_at;
-        if waits || !self.in_contact() || self.is_founding() {
-            return;
-        }
-        let version = match &self.view.leader {
-            None => 0,
-            Some(l)
-                if l.record.node == self.settings.node
-                    && l.record.incarnation != self.incarnation =>
-            {
-                l.version
-            }
-            Some(_) => return,
-        };
-        let key = Key::Leader.path();
-        let txn = Txn {
-            conds: vec![Cond {
-                key: key.clone(),
-                version,
-            }],
-            changes: vec![Change::Put {
-                key,
-                value: to_list(&self.member_record()),
-                lease: Some(hold),
-            }],
-        };
-        self.store.lead_pending = self.txn(txn, Purpose::Lead, Urgency::Session);
-    }
-
-    pub(crate) fn lead_written(&mut self, outcome: Outcome) {
-        self.store.lead_pending = false;
-        self.session_written(outcome);
-    }
-
     fn keep_view(&mut self) {
         if !self.store.ready || self.store.snapshot.is_some() {
             self.read_snapshot();
@@ -811,5 +662,6 @@
     }
 }
 
+mod session;
 #[cfg(test)]
 mod tests;
