--- a/crates/core/src/store/tests.rs
+++ b/crates/core/src/store/tests.rs
@@ -101,18 +101,24 @@
     (controller, first)
 }
 
+/// The same after the first page, with its requests for a user and for the second page.
+fn reads_the_second_page(breaks: fn(&mut Controller)) -> (Controller, [u64; 2]) {
+    let (mut controller, first) = told_too_old(breaks);
+    controller.poll(7, "j-1");
+    let outputs = controller.handle(now(1110), Input::Tick);
+    let read = call(&outputs, "/changes", false);
+    let outputs = controller.handle(now(1120), Input::Reply(first, page(true, 10)));
+    let second = call(&outputs, "/kv", false);
+    (controller, [read, second])
+}
+
 /// While all was read anew, a read for a user brought the view before up to date. The
 /// pages are of different moments and may lack a cancellation that the view before
 /// had; that view's contact counted for them all the same.
 #[test]
 fn records_are_used_only_once_they_are_consistent() {
     let replaced = |breaks| {
-        let (mut controller, first) = told_too_old(breaks);
-        controller.poll(7, "j-1");
-        let outputs = controller.handle(now(1110), Input::Tick);
-        let read = call(&outputs, "/changes", false);
-        let outputs = controller.handle(now(1120), Input::Reply(first, page(true, 10)));
-        let second = call(&outputs, "/kv", false);
+        let (mut controller, [read, second]) = reads_the_second_page(breaks);
         controller.handle(now(1130), Input::Reply(read, events(12)));
         assert!(controller.in_contact(), "the view before is whole");
         let outputs = controller.handle(now(1140), Input::Reply(second, page(false, 13)));
@@ -140,12 +146,7 @@
 #[test]
 fn a_second_answer_that_changes_are_too_old_changes_nothing() {
     let asked_next = |breaks| {
-        let (mut controller, first) = told_too_old(breaks);
-        controller.poll(7, "j-1");
-        let outputs = controller.handle(now(1110), Input::Tick);
-        let read = call(&outputs, "/changes", false);
-        let outputs = controller.handle(now(1120), Input::Reply(first, page(true, 10)));
-        let second = call(&outputs, "/kv", false);
+        let (mut controller, [read, second]) = reads_the_second_page(breaks);
         controller.handle(now(1130), Input::Reply(read, answer(410, Vec::new())));
         let outputs = controller.handle(now(1140), Input::Reply(second, page(false, 13)));
         let asked = outputs.iter().find_map(|output| match output {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -31,17 +31,17 @@
     pub machines: u32,
     /// How long it took, in seconds.
     pub seconds: u64,
-    /// The answers that changes are no longer kept.
+    /// Answers that changes are no longer kept.
     pub too_old: usize,
     /// Jobs accepted.
     pub accepted: usize,
     /// Accepted jobs whose end nobody had told at the end.
     pub open: usize,
-    /// Tasks started, done, and lost with their machine or the lease of its worker.
+    /// Starts of tasks.
     pub started: u64,
-    /// See there.
+    /// Tasks that completed.
     pub done: usize,
-    /// See there.
+    /// Tasks that ended with their machine or the lease of its worker.
     pub lost: usize,
     /// Broken rules.
     pub broken: Vec<Break>,
