Failing test: a block changes hands while old and new holder reach different workers

Cause as far as the records of the incident and this test show: a holder that the state service refuses concludes from a worker's silence that its lease is over, though the block has been leased to another controller, which renews that lease. It then starts the worker's tasks again on machines that have not heard the new holder.

No behaviour has changed.

The simulated world gets its workers' timing from a type now, and controllers' clocks may drift.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod evidence;
 pub mod faults;
 pub mod guest;
+pub mod handover;
 pub mod model;
 pub mod net;
 pub mod rules;
@@ -23,6 +24,7 @@
     Fault, draw, draw_behind, draw_meetings, draw_quick, draw_roll, draw_slow, draw_troubles, over,
 };
 pub use guest::{Guest, GuestAsk, Wish};
+pub use handover::{draw_handovers, draw_timing};
 pub use rules::{Broken, Rules};
 pub use state::{Done, Limits as StateLimits, State};
-pub use world::{Crowd, Load, Outcome, Size, World};
+pub use world::{Crowd, Load, Outcome, Size, Timing, World};
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -14,7 +14,7 @@
 mod users;
 
 pub use outcome::{Load, Outcome};
-pub use setup::{Crowd, Size};
+pub use setup::{Crowd, Size, Timing};
 
 use std::{
     cmp::Reverse,
@@ -57,8 +57,13 @@
 const NODES: usize = 3;
 const ZONES: [&str; 2] = ["east", "west"];
 
+/// How much faster than others a steady clock may run.
+const DRIFT: f64 = 0.0005;
+
 struct Node {
     controller: Option<Controller>,
+    /// How fast its steady clock runs.
+    clock_rate: f64,
     settings: Settings,
     level: Level,
     life: u64,
@@ -195,6 +200,7 @@
     users: Vec<User>,
     refused_jobs: BTreeSet<JobId>,
     limits: [Limits; 2],
+    timing: Timing,
     faults: Vec<Fault>,
     sabotage: Option<Sabotage>,
     next_id: u64,
@@ -245,12 +251,24 @@
         busy: Duration,
         faults: Vec<Fault>,
         sabotage: Option<Sabotage>,
+    ) -> Self {
+        Self::timed(size, Timing::USUAL, seed, busy, faults, sabotage)
+    }
+
+    /// The same with other settings for workers' timing.
+    pub fn timed(
+        size: Size,
+        timing: Timing,
+        seed: u64,
+        busy: Duration,
+        faults: Vec<Fault>,
+        sabotage: Option<Sabotage>,
     ) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let zones: Vec<String> = ZONES.map(String::from).to_vec();
         let limits = [("red", 40.0), ("blue", 24.0)]
             .map(|(team, cpus)| (team.to_owned(), cpus * f64::from(size.factor)));
-        let rules = Rules::new(limits.into(), Duration::from_secs(30));
+        let rules = Rules::new(limits.into(), timing.cancel);
         let mut users: Vec<_> = (0..size.jobs)
             .map(|i| draw_user(&mut rng, i, busy, size.factor))
             .collect();
@@ -259,7 +277,11 @@
         let rolls = faults.iter().any(|f| matches!(f, Fault::Roll { .. }));
         let nodes = (0..NODES).map(|i| Node {
             controller: None,
-            settings: settings(i, size),
+            clock_rate: match timing.drifts && (seed as usize + i).is_multiple_of(2) {
+                true => 1.0 + DRIFT,
+                false => 1.0,
+            },
+            settings: settings(i, size, &timing),
             level: if rolls { Level::FIRST } else { Level::OWN },
             life: 0,
             back_at: Duration::ZERO,
@@ -292,6 +314,7 @@
             users,
             refused_jobs: BTreeSet::new(),
             limits: size.limits(),
+            timing,
             faults,
             sabotage,
             next_id: 0,
@@ -676,8 +699,7 @@
                 zone: m.zone,
                 spot: m.spot,
             };
-            let lease = Duration::from_secs(12);
-            let worker = Worker::new(name.clone(), site, kind, lease, now);
+            let worker = Worker::new(name.clone(), site, kind, self.timing.lease, now);
             self.workers.insert(name, worker);
         }
         self.machines_pass();
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -120,7 +120,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        worker.report_at = now + Duration::from_secs(2).mul_f64(jitter);
+        worker.report_at = now + self.timing.report.mul_f64(jitter);
         self.next_id += 1;
         let report = self.next_id;
         worker.in_flight = Some((report, now));
--- a/crates/testkit/src/world/processes.rs
+++ b/crates/testkit/src/world/processes.rs
@@ -80,8 +80,9 @@
     }
 
     pub(super) fn node_now(&self, node: usize) -> Now {
+        let up = self.now.saturating_sub(self.nodes[node].started);
         Now {
-            steady: self.now.saturating_sub(self.nodes[node].started),
+            steady: up.mul_f64(self.nodes[node].clock_rate),
             day: Duration::from_secs(1_800_000_000) + self.now,
         }
     }
--- a/crates/testkit/src/world/setup.rs
+++ b/crates/testkit/src/world/setup.rs
@@ -32,6 +32,30 @@
     pub called_off_one_in: u32,
 }
 
+/// What the settings say of workers' timing, and whether clocks drift apart.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// The time between two reports of a worker.
+    pub report: Duration,
+    /// A worker's lease.
+    pub lease: Duration,
+    /// The time until a cancelled job's tasks have to be gone.
+    pub cancel: Duration,
+    /// Controllers' steady clocks differ by as much as the protocol allows.
+    pub drifts: bool,
+}
+
+impl Timing {
+    /// What all days have that don't draw it. The contact limit is longer than the
+    /// lease: a lease can run out while its holder may act without new contact.
+    pub const USUAL: Self = Self {
+        report: Duration::from_secs(2),
+        lease: Duration::from_secs(12),
+        cancel: Duration::from_secs(30),
+        drifts: false,
+    };
+}
+
 /// How large a world is.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -106,7 +130,7 @@
     }
 }
 
-pub(super) fn settings(node: usize, size: Size) -> Settings {
+pub(super) fn settings(node: usize, size: Size, timing: &Timing) -> Settings {
     let peer = |i: usize| {
         format!(
             r#"{{"member":"n-{i}","site":"{}","endpoint":"10.0.0.{}:81"}}"#,
@@ -130,7 +154,7 @@
         "objectives":[{{"kind":"wait","class":"rush","within_s":20,"share":0.9}},
           {{"kind":"finished","class":"rush","within_s":60,"share":0.9}},
           {{"kind":"finished","class":"bulk","within_s":120,"share":0.9}}],
-        "workers":{{"report_s":2.0,"lease_s":12.0,"cancel_s":30.0}},
+        "workers":{{"report_s":{},"lease_s":{},"cancel_s":{}}},
         "state":{{"rps":{},"write_rps":{},"value_kb":16,"txn_ops":20{next}}},
         "cloud":{{"rps":6,"list_lag_s":3}},"limits":{{"max_sockets":{}}}}}}}"#,
         ZONES[node % 2],
@@ -141,6 +165,9 @@
         40 * size.factor,
         8 * size.factor,
         24 * size.factor,
+        timing.report.as_secs_f64(),
+        timing.lease.as_secs_f64(),
+        timing.cancel.as_secs_f64(),
         size.state.0,
         size.state.1,
         size.sockets,
