Silence ends a worker's lease only as long as its block is proven to be ours

Cause: a worker's lease is renewed by whoever holds its block, and a holder counted it from its own last answer (blocks::expire). Refused by the state service, it took a worker for dead that the next holder of the block had been serving, and within its contact limit started the tasks again on machines that had not heard the new holder: ran_twice; quota where the tasks had ended meanwhile. Any settings with lease_s below the contact limit allow it.

Change: core::lease owns what is known of a worker's lease, and its end counts only if the records gave us the block at an instant after it (Tenure: the sending of the last answered watch or read). attempt::Nowhere carries the instant that silence speaks of; a start without proof for it is a violated invariant, counted, and does not leave. While the state service can be reached the proof is asked for by a read at once. Write-offs are logged with the term, the token shown and the contact.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -9,6 +9,7 @@
 use oliveshift_wire::worker::{TaskReport, TaskState, Why};
 
 use crate::{
+    lease::Tenure,
     machine::Machine,
     slots::{Bound, Slot, State},
 };
@@ -26,12 +27,38 @@
     NotListed,
     /// Its worker has begun another session.
     SessionOver,
-    /// Its worker's lease has run out.
-    LeaseOver,
+    /// Its worker's lease was over at this instant, if nobody else had renewed it by
+    /// then.
+    LeaseOver { at: Duration },
     /// The cloud has confirmed the return of its machine.
     MachineGone,
-    /// No machine of the block can have it, whoever started it.
-    BlockProven,
+    /// No machine of the block can have it, whoever started it: each has shown our
+    /// term or was silent for longer than any lease. The latest such lease was over at
+    /// this instant.
+    BlockProven { silent_until: Option<Duration> },
+}
+
+impl Nowhere {
+    /// The instant until which nobody else may have held the block for this to be
+    /// true. None: it rests on what a worker or the cloud has said, or on what only
+    /// we can do, and stays true whoever holds the block by now.
+    pub fn silent_until(&self) -> Option<Duration> {
+        match *self {
+            Self::LeaseOver { at } => Some(at),
+            Self::BlockProven { silent_until } => silent_until,
+            Self::HandedUnderOurTerm
+            | Self::NotStarted
+            | Self::Ended(_)
+            | Self::NotListed
+            | Self::SessionOver
+            | Self::MachineGone => None,
+        }
+    }
+
+    /// Whether it holds by what proves that the block is ours.
+    pub fn holds(&self, tenure: Tenure) -> bool {
+        self.silent_until().is_none_or(|at| tenure.covers(at))
+    }
 }
 
 impl fmt::Display for Nowhere {
@@ -42,9 +69,17 @@
             Self::Ended(why) => write!(f, "ended: {why:?}"),
             Self::NotListed => f.write_str("no longer listed"),
             Self::SessionOver => f.write_str("the session is over"),
-            Self::LeaseOver => f.write_str("the lease is over"),
+            Self::LeaseOver { at } => write!(f, "the lease was over at {at:.1?}"),
             Self::MachineGone => f.write_str("the machine is gone"),
-            Self::BlockProven => f.write_str("all machines of the block are proven"),
+            Self::BlockProven { silent_until: None } => {
+                f.write_str("all machines of the block are proven")
+            }
+            Self::BlockProven {
+                silent_until: Some(at),
+            } => write!(
+                f,
+                "all machines of the block are proven or silent until {at:.1?}"
+            ),
         }
     }
 }
@@ -54,6 +89,9 @@
 pub(crate) enum NoStart {
     /// The records that we go by may be too old.
     NoContact,
+    /// It is nowhere only if the block was ours until an instant for which that is not
+    /// proven.
+    NoTenure(Nowhere),
     /// Earlier holders may still act on the machine.
     NotProven,
     /// The machine's lease has run out.
@@ -88,16 +126,21 @@
 }
 
 impl Attempt<'_> {
-    /// Whether an attempt that was placed on the machine may be started. `contact`: how
-    /// old the records are that we go by, if they may be gone by at all.
-    pub fn may_start(&self, bound: &Bound, contact: Option<Duration>) -> Result<(), NoStart> {
-        if contact.is_none() {
+    /// Whether an attempt that was placed on the machine may be started. `tenure`: until
+    /// when the block was surely ours, if the records may be gone by at all.
+    pub fn may_start(&self, bound: &Bound, tenure: Option<Tenure>) -> Result<(), NoStart> {
+        let Some(tenure) = tenure else {
             return Err(NoStart::NoContact);
+        };
+        if let Some(evidence) = bound.evidence
+            && !evidence.holds(tenure)
+        {
+            return Err(NoStart::NoTenure(evidence));
         }
         if !self.machine.proven {
             return Err(NoStart::NotProven);
         }
-        if self.machine.expired {
+        if self.machine.lease.is_over() {
             return Err(NoStart::LeaseOver);
         }
         if bound.session != self.machine.session {
--- a/crates/core/src/attempt/tests.rs
+++ b/crates/core/src/attempt/tests.rs
@@ -30,6 +30,7 @@
     Bound {
         machine: "vm-1".into(),
         attempt: ATTEMPT,
+        evidence: None,
         session: 3,
         sent: None,
         seen: false,
@@ -61,8 +62,8 @@
 
 #[test]
 fn a_start_needs_contact_and_a_proven_machine_in_the_same_session() {
-    let contact = Some(Duration::from_secs(1));
-    let decides = |contact, changes: fn(&mut Machine, &mut Bound)| {
+    let contact = Some(Tenure::proven_until(Some(Duration::from_secs(1))));
+    let decides = |tenure, changes: fn(&mut Machine, &mut Bound)| {
         let (mut machine, mut bound) = (machine(), bound());
         changes(&mut machine, &mut bound);
         let attempt = Attempt {
@@ -70,13 +71,13 @@
             name: "vm-1",
             slot: None,
         };
-        attempt.may_start(&bound, contact)
+        attempt.may_start(&bound, tenure)
     };
     assert_eq!(decides(contact, |_, _| {}), Ok(()));
     assert_eq!(decides(None, |_, _| {}), Err(NoStart::NoContact));
     let not_proven = decides(contact, |m, _| m.proven = false);
     assert_eq!(not_proven, Err(NoStart::NotProven));
-    let expired = decides(contact, |m, _| m.expired = true);
+    let expired = decides(contact, |m, _| m.lease.expire(Duration::ZERO));
     assert_eq!(expired, Err(NoStart::LeaseOver));
     let other_session = decides(contact, |m, _| m.session = 4);
     assert_eq!(other_session, Err(NoStart::OtherSession));
@@ -113,3 +114,47 @@
     assert_eq!(unrecorded, Err(Kept::NotRecorded));
     assert_eq!(decides(done(), None, true), Err(Kept::MayStartLate));
 }
+
+/// Silence is evidence only for as long as nobody else can have held the block; what a
+/// worker has said stays true.
+#[test]
+fn a_start_on_silence_needs_tenure_beyond_it() {
+    let at = |s| Duration::from_secs(s);
+    let decides = |evidence, proven| {
+        let machine = machine();
+        let attempt = Attempt {
+            machine: &machine,
+            name: "vm-1",
+            slot: None,
+        };
+        let bound = Bound {
+            evidence: Some(evidence),
+            ..bound()
+        };
+        attempt.may_start(&bound, Some(Tenure::proven_until(proven)))
+    };
+    let silence = [
+        Nowhere::LeaseOver { at: at(75) },
+        Nowhere::BlockProven {
+            silent_until: Some(at(75)),
+        },
+    ];
+    for evidence in silence {
+        assert_eq!(decides(evidence, Some(at(75))), Ok(()));
+        let refused = Err(NoStart::NoTenure(evidence));
+        assert_eq!(decides(evidence, Some(at(74))), refused);
+        assert_eq!(decides(evidence, None), refused);
+    }
+    let stays_true = [
+        Nowhere::HandedUnderOurTerm,
+        Nowhere::NotStarted,
+        Nowhere::Ended(Why::Error),
+        Nowhere::NotListed,
+        Nowhere::SessionOver,
+        Nowhere::MachineGone,
+        Nowhere::BlockProven { silent_until: None },
+    ];
+    for evidence in stays_true {
+        assert_eq!(decides(evidence, Some(at(1))), Ok(()), "{evidence}");
+    }
+}
--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -12,7 +12,8 @@
     attempt::Nowhere,
     call::ConnId,
     controller::Controller,
-    machine::Machine,
+    lease::LeaseLimits,
+    machine::{Machine, SilentWorkers},
     records::{BlockId, Term},
     slots::{Bound, Origin, State, Stop, Unlisted},
 };
@@ -168,14 +169,14 @@
         let name = report.machine.clone();
         let (session, seq) = (report.session, report.seq);
         let newest = self.take_report(report, Origin::Report);
-        let expired = self.machines.get(&name).is_none_or(|m| m.expired);
+        let expired = self.machines.get(&name).is_none_or(|m| m.lease.is_over());
         if expired || !newest {
             // Stale: an answer would renew a lease that we count as over, or
             // that a newer message has moved beyond.
             let is_newer = self
                 .machines
                 .get(&name)
-                .is_some_and(|m| !m.expired && m.session == session);
+                .is_some_and(|m| !m.lease.is_over() && m.session == session);
             if !is_newer {
                 return self.refuse(conn, 503, "an old report");
             }
@@ -186,7 +187,7 @@
             Vec::new()
         };
         if let Some(machine) = self.machines.get_mut(&name) {
-            machine.renewed = Some(self.now);
+            machine.lease.renew(self.now);
         }
         let answer = ReportAnswer {
             token: term,
@@ -210,7 +211,7 @@
         if (report.session, report.seq) <= (machine.session, machine.seq) {
             return false;
         }
-        if machine.expired && machine.session != 0 && report.session <= machine.session {
+        if machine.lease.is_over() && machine.session != 0 && report.session <= machine.session {
             // Sent before its lease ran out and held up: what it lists is gone.
             return false;
         }
@@ -220,13 +221,14 @@
             // Its lease runs from its beginning, which we may learn from the
             // answer to direct orders. Counted from our last answer to the
             // session before, it would be over while its tasks run.
-            machine.renewed = machine.renewed.max(Some(now));
+            machine.lease.renew(now);
         }
         machine.session = report.session;
         machine.seq = report.seq;
         machine.heard = Some(now);
         machine.unanswered = 0;
-        machine.expired = false;
+        machine.token = report.token;
+        machine.lease.goes_on();
         machine.taken_at = report
             .notice_s
             .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 1e6)));
@@ -236,7 +238,7 @@
         if proof && !machine.proven {
             machine.proven = true;
             // Answers of earlier holders renew nothing from here on.
-            machine.renewed = machine.renewed.max(Some(now));
+            machine.lease.renew(now);
         }
         let proven = machine.proven;
         let gone: Vec<TaskId> = if new_session && !first {
@@ -302,6 +304,7 @@
                 let bound = Bound {
                     machine: name.to_owned(),
                     attempt: entry.attempt,
+                    evidence: None,
                     session,
                     sent: Some(0),
                     seen: true,
@@ -442,9 +445,9 @@
         if self.held.get(&block).is_none_or(|h| h.lost == 0) {
             return;
         }
-        if !self.block_settled(block) {
+        let Some(proof) = self.block_proof(block) else {
             return;
-        }
+        };
         let lost: Vec<_> = self
             .slots
             .iter()
@@ -456,39 +459,40 @@
             lost.len()
         );
         for task in lost {
-            self.free(&task, Nowhere::BlockProven, Duration::ZERO);
+            self.free(&task, proof, Duration::ZERO);
         }
     }
 
-    /// Whether nothing that earlier holders started in the block can be unseen.
-    pub(crate) fn block_settled(&self, block: BlockId) -> bool {
+    /// Evidence that nothing that earlier holders started in the block can be unseen.
+    pub(crate) fn block_proof(&self, block: BlockId) -> Option<Nowhere> {
         #[cfg(feature = "sabotage")]
         if self.sabotage == Some(crate::Sabotage::NoProof) {
-            return true;
+            return Some(Nowhere::BlockProven { silent_until: None });
+        }
+        let mut silent_until = None;
+        for name in self.view.in_block.get(&block).into_iter().flatten() {
+            let machine = self.machines.get(name).filter(|m| m.settled())?;
+            silent_until = silent_until.max(machine.lease.over_since());
         }
-        let names = self.view.in_block.get(&block);
-        names.into_iter().flatten().all(|name| {
-            let machine = self.machines.get(name);
-            machine.is_some_and(Machine::settled)
-        })
+        Some(Nowhere::BlockProven { silent_until })
     }
 
     pub(crate) fn blocks_tick(&mut self) {
         let now = self.now;
-        let lease = self.settings.lease_limit();
-        let takeover = self.settings.takeover_limit();
-        let over: Vec<_> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| !m.expired)
-            .filter(|(_, m)| {
-                let ours = m.renewed.is_none_or(|at| now > at + lease);
-                ours && (m.proven || now > m.since + takeover)
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in over {
-            self.expire(&name);
+        let limits = LeaseLimits::from(&*self.settings);
+        let silent = SilentWorkers::among(&self.machines, now, &limits, self.store.tenure());
+        #[cfg(feature = "sabotage")]
+        let silent = match self.sabotage {
+            Some(way) if way.trusts_silence() => silent.trusted(),
+            _ => silent,
+        };
+        for (name, at) in silent.over {
+            self.expire(&name, at);
+        }
+        // The watch under way was sent before these leases were over.
+        self.store.proof_wanted = !silent.unproven.is_empty() && self.in_contact();
+        if self.store.proof_wanted {
+            self.read_for_asks();
         }
         // A block without machines hears no report that would settle it.
         let lost = self.held.iter().filter(|(_, h)| h.lost > 0);
@@ -506,21 +510,26 @@
         }
     }
 
-    /// A worker's lease has run out without a renewal: its tasks are gone.
-    fn expire(&mut self, name: &str) {
+    /// A worker's lease was over at some instant: its tasks are gone.
+    fn expire(&mut self, name: &str, at: Duration) {
+        let (now, contact) = (self.now, self.contact_age().unwrap_or_default());
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        machine.expired = true;
+        machine.lease.expire(at);
         machine.tasks.clear();
         let block = machine.block;
         let tasks: Vec<_> = machine.bound.iter().cloned().collect();
         log::info!(
-            "{name}: silent beyond its lease, {} tasks written off",
-            tasks.len()
+            "{name}: silent beyond its lease, {} tasks written off; the lease was over {:.1?} ago, \
+             term {}, token shown {}, contact {contact:.1?} ago",
+            tasks.len(),
+            now.saturating_sub(at),
+            machine.term,
+            machine.token,
         );
         for task in tasks {
-            self.free(&task, Nowhere::LeaseOver, Duration::ZERO);
+            self.free(&task, Nowhere::LeaseOver { at }, Duration::ZERO);
         }
         self.find_lost(block);
         self.touch(name);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -144,6 +144,10 @@
     NoLateStarts,
     /// Hand-outs whose write got no answer count as not made.
     NoDoubt,
+    /// A worker's silence ends its lease, whoever may have renewed it.
+    TrustedSilence,
+    /// The same, and what follows from it may be started.
+    StaleEvidence,
 }
 
 #[cfg(feature = "sabotage")]
@@ -159,10 +163,16 @@
             Self::NoLateStarts,
             Self::MixedReads,
             Self::PartialView,
+            Self::StaleEvidence,
         ];
         ways.into_iter().find(|way| format!("{way:?}") == name)
     }
 
+    /// Whether a worker's silence ends its lease, whoever holds its block.
+    pub(crate) fn trusts_silence(self) -> bool {
+        matches!(self, Self::TrustedSilence | Self::StaleEvidence)
+    }
+
     /// Whether a job is one of the few that some of these are about.
     pub(crate) fn hits(id: &oliveshift_wire::JobId) -> bool {
         id.digits().ends_with(['1', '5', '8'])
--- a/crates/core/src/invariants.rs
+++ b/crates/core/src/invariants.rs
@@ -9,6 +9,7 @@
 use oliveshift_wire::TaskId;
 
 use crate::{
+    attempt::Nowhere,
     records::{BlockId, Term},
     slots::Bound,
 };
@@ -41,6 +42,16 @@
         /// The attempt.
         attempt: u64,
     },
+    /// A task that silence alone proves to be nowhere was about to be started, though
+    /// the block may have been somebody else's by then.
+    StartWithoutTenure {
+        /// The task.
+        task: TaskId,
+        /// The attempt.
+        attempt: u64,
+        /// What it was to be started on.
+        evidence: Nowhere,
+    },
     /// A task was handed to us again under the term under which we started it, with
     /// no proof in between that it has ended.
     HandedAgain {
@@ -70,6 +81,14 @@
                 f,
                 "{task} is no longer ours, though attempt {attempt} may be on {machine}"
             ),
+            Self::StartWithoutTenure {
+                task,
+                attempt,
+                evidence,
+            } => write!(
+                f,
+                "attempt {attempt} of {task} was about to start, as {evidence}, for which the block is not proven to be ours"
+            ),
             Self::HandedAgain {
                 task,
                 machine,
--- a/crates/core/src/invariants/tests.rs
+++ b/crates/core/src/invariants/tests.rs
@@ -4,6 +4,7 @@
     Bound {
         machine: "vm-1".into(),
         attempt: 7,
+        evidence: None,
         session: 3,
         sent: Some(0),
         seen: true,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod intake;
 mod invariants;
 mod leader;
+mod lease;
 mod links;
 mod lists;
 mod machine;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -82,7 +82,7 @@
         let machines = &self.view.machines;
         let held = || {
             let mut held: BTreeMap<BlockId, (String, usize)> = BTreeMap::new();
-            for machine in self.machines.values().filter(|m| !m.expired) {
+            for machine in self.machines.values().filter(|m| !m.lease.is_over()) {
                 let zone = || (machine.record.zone.clone(), 0);
                 held.entry(machine.block).or_insert_with(zone).1 += 1;
             }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -1,13 +1,16 @@
 //! What a holder knows of a machine in its blocks.
 
 use std::{
-    collections::{BTreeSet, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     time::Duration,
 };
 
 use oliveshift_wire::{TaskId, cloud::MachineType, worker::TaskReport};
 
-use crate::records::{BlockId, MachineRecord, Term};
+use crate::{
+    lease::{LeaseLimits, Silence, Tenure, WorkerLease},
+    records::{BlockId, MachineRecord, Term},
+};
 
 /// A machine of a block that we hold.
 #[derive(Debug)]
@@ -16,20 +19,19 @@
     pub block: BlockId,
     /// The term under which we know it.
     pub term: Term,
-    /// Since when.
-    pub since: Duration,
     /// The newest message's session and number; 0: none yet.
     pub session: u64,
     pub seq: u64,
+    /// The highest token that its worker has shown.
+    pub token: u64,
     /// A newest report has shown our term: what earlier holders have sent can
     /// no longer take effect, and what it does not list is not there.
     pub proven: bool,
-    /// Its worker has surely stopped all tasks of its last known session.
-    pub expired: bool,
+    /// The lease of its worker: once over, all tasks of its last known session have
+    /// stopped.
+    pub lease: WorkerLease,
     /// When a message came last.
     pub heard: Option<Duration>,
-    /// The latest moment at which its lease may have been renewed.
-    pub renewed: Option<Duration>,
     /// When the cloud takes it away.
     pub taken_at: Option<Duration>,
     /// All tasks on it by its newest message.
@@ -64,13 +66,12 @@
             block: record.block,
             record,
             term,
-            since: now,
             session: 0,
             seq: 0,
+            token: 0,
             proven: false,
-            expired: false,
+            lease: WorkerLease::new(now),
             heard: None,
-            renewed: None,
             taken_at: None,
             tasks: Vec::new(),
             bound: BTreeSet::new(),
@@ -89,12 +90,12 @@
 
     /// Whether no task of an earlier holder can be on it unseen.
     pub fn settled(&self) -> bool {
-        self.proven || self.expired
+        self.proven || self.lease.is_over()
     }
 
     /// How long it has been silent.
     pub fn silent(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.heard.unwrap_or(self.since))
+        now.saturating_sub(self.heard.unwrap_or(self.lease.since()))
     }
 
     /// Whether a start of the attempt may still arrive.
@@ -123,3 +124,40 @@
         self.errors >= 2
     }
 }
+
+/// Workers that have been silent for as long as their leases, by the names of their
+/// machines, with the instants at which the leases were over.
+#[derive(Debug, Default)]
+pub(crate) struct SilentWorkers {
+    /// Their leases are over for sure.
+    pub over: Vec<(String, Duration)>,
+    /// It is not proven that their blocks were ours until then.
+    pub unproven: Vec<(String, Duration)>,
+}
+
+impl SilentWorkers {
+    /// Those among the machines of our blocks.
+    pub fn among(
+        machines: &BTreeMap<String, Machine>,
+        now: Duration,
+        limits: &LeaseLimits,
+        tenure: Tenure,
+    ) -> Self {
+        let mut silent = Self::default();
+        for (name, machine) in machines.iter().filter(|(_, m)| !m.lease.is_over()) {
+            match machine.lease.look(now, machine.proven, limits, tenure) {
+                Silence::Nothing => {}
+                Silence::Unproven(at) => silent.unproven.push((name.clone(), at)),
+                Silence::LeaseOver(at) => silent.over.push((name.clone(), at)),
+            }
+        }
+        silent
+    }
+
+    /// The same as if all were proven.
+    #[cfg(feature = "sabotage")]
+    pub fn trusted(mut self) -> Self {
+        self.over.append(&mut self.unproven);
+        self
+    }
+}
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
+use log::Level;
 use oliveshift_wire::{
     TaskId, decode, encode,
     worker::{DirectOrders, Order, Report, TaskReport, TaskState},
 };
 
 use crate::{
-    attempt::{Attempt, Nowhere},
+    attempt::{Attempt, NoStart, Nowhere},
     call::{Method, Reply, Target},
     controller::{Controller, Pending},
+    invariants::Violation,
     machine::Machine,
     records::Term,
     slots::Origin,
@@ -121,7 +123,7 @@
     /// The order to start a task that was placed on a machine, with whatever carries
     /// it: the answer to a report of this number, or direct orders (0).
     fn start_order(&mut self, name: &str, task: &TaskId, carried_by: u64) -> Option<Order> {
-        let contact = self.contact_age().filter(|_| self.may_act());
+        let tenure = self.may_act().then(|| self.store.tenure());
         let machine = self.machines.get(name)?;
         let slot = self.slots.get(task)?;
         let bound = slot.bound()?;
@@ -131,15 +133,39 @@
             name,
             slot: Some(slot),
         };
-        if let Err(why) = decided.may_start(bound, contact) {
+        let decision = decided.may_start(bound, tenure);
+        #[cfg(feature = "sabotage")]
+        let decision = match decision {
+            Err(NoStart::NoTenure(_)) if self.sabotage == Some(crate::Sabotage::StaleEvidence) => {
+                Ok(())
+            }
+            decision => decision,
+        };
+        if let Err(why) = decision {
             log::debug!("{task}: attempt {attempt} is not started on {name}: {why:?}");
+            if let NoStart::NoTenure(evidence) = why {
+                let task = task.clone();
+                self.invariants.violated(&Violation::StartWithoutTenure {
+                    task,
+                    attempt,
+                    evidence,
+                });
+            }
             return None;
         }
-        log::debug!(
-            "{task}: attempt {attempt} is started on {name}, session {}, term {}, contact {:?} ago",
+        let level = match bound.evidence.and_then(|e| e.silent_until()) {
+            Some(_) => Level::Info,
+            None => Level::Debug,
+        };
+        log::log!(
+            level,
+            "{task}: attempt {attempt} is started on {name}, session {}, term {}, contact {:.1?} ago, as {}",
             bound.session,
             machine.term,
-            contact.unwrap_or_default()
+            self.contact_age().unwrap_or_default(),
+            bound
+                .evidence
+                .map_or("found there".to_owned(), |e| e.to_string()),
         );
         self.slots.get_mut(task)?.bound_mut()?.sent = Some(carried_by);
         let task = task.clone();
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -69,11 +69,15 @@
             }
             return;
         };
+        let State::Free { evidence, .. } = slot.state else {
+            return;
+        };
         let attempt = self.next_attempt(task, term);
         log::debug!("{task}: goes to {name}");
         let bound = Bound {
             machine: name.clone(),
             attempt,
+            evidence: Some(evidence),
             session,
             sent: None,
             seen: false,
@@ -124,7 +128,7 @@
     /// Whether tasks can be put on a machine now.
     pub(crate) fn usable(&self, name: &str, machine: &Machine) -> bool {
         machine.proven
-            && !machine.expired
+            && !machine.lease.is_over()
             && machine.taken_at.is_none()
             && !machine.faulty()
             && !self.draining.contains(name)
--- a/crates/core/src/seen.rs
+++ b/crates/core/src/seen.rs
@@ -146,7 +146,7 @@
             term: machine.term,
             usable: self.usable(name, machine),
             faulty: machine.faulty(),
-            silent_since: silent.then(|| machine.heard.unwrap_or(machine.since)),
+            silent_since: silent.then(|| machine.heard.unwrap_or(machine.lease.since())),
             idle_since: machine.idle_since,
             free: minus(&total.unwrap_or_default(), &self.used(machine)),
             images: machine.images.iter().map(|(n, _)| n.clone()).collect(),
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -37,6 +37,7 @@
     Free {
         since: Duration,
         not_before: Duration,
+        evidence: Nowhere,
     },
     /// Possibly on this machine and on no other.
     Bound(Bound),
@@ -51,6 +52,8 @@
 pub(crate) struct Bound {
     pub machine: String,
     pub attempt: u64,
+    /// Why the task was nowhere when it was placed there; none: it was found there.
+    pub evidence: Option<Nowhere>,
     /// The session in which it was started.
     pub session: u64,
     /// Its start went out; with the answer to the report of this number.
@@ -276,7 +279,7 @@
     fn started_before(&mut self, task: &TaskId) -> Option<Bound> {
         let bound = self.invariants.take_started(task)?;
         let machine = self.machines.get(&bound.machine)?;
-        let may_be_there = machine.session == bound.session && !machine.expired;
+        let may_be_there = machine.session == bound.session && !machine.lease.is_over();
         may_be_there.then_some(bound)
     }
 
@@ -349,14 +352,21 @@
             self.set_state(task, State::Lost);
             return self.take_entry(&machine, session, &entry);
         }
-        let state = if !ours && !self.block_settled(slot.block) {
-            State::Lost
-        } else if slot.cancelled || slot.bound().is_some_and(|b| b.stop.is_some()) {
+        // Handed to an earlier holder, it is nowhere only if the whole block is.
+        let evidence = match ours {
+            true => Some(evidence),
+            false => self.block_proof(slot.block),
+        };
+        let Some(evidence) = evidence else {
+            return self.set_state(task, State::Lost);
+        };
+        let state = if slot.cancelled || slot.bound().is_some_and(|b| b.stop.is_some()) {
             State::Leaving
         } else {
             State::Free {
                 since: self.now,
                 not_before: self.now + wait,
+                evidence,
             }
         };
         self.set_state(task, state);
@@ -375,7 +385,7 @@
         let was = slot.bound().map(|b| (b.machine.as_str(), b.attempt));
         let names = self.view.in_block.get(&slot.block)?;
         names.iter().find_map(|name| {
-            let machine = self.machines.get(name).filter(|m| !m.expired)?;
+            let machine = self.machines.get(name).filter(|m| !m.lease.is_over())?;
             let entry = machine.tasks.iter().find(|t| {
                 let lives = t.state != TaskState::Exited || t.why == Some(Why::Done);
                 t.task == *task && lives && was != Some((name.as_str(), t.attempt))
--- a/crates/core/src/slots/tests.rs
+++ b/crates/core/src/slots/tests.rs
@@ -15,6 +15,7 @@
     let bound = |sent, seen, stops: bool| Bound {
         machine: "vm-1".into(),
         attempt: 1,
+        evidence: None,
         session: 1,
         sent,
         seen,
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -16,6 +16,7 @@
     controller::{Controller, Pending},
     invariants::Violation,
     leader::Duty,
+    lease::Tenure,
     records::{Key, ROOT},
     snapshot::{SnapshotPart, SnapshotRead},
     upgrade,
@@ -171,6 +172,8 @@
     failures: u32,
     /// When we last went on after standing still.
     woke: Duration,
+    /// The end of a lease waits for proof that its block is still ours.
+    pub proof_wanted: bool,
     /// The lower limits hold.
     pub lowered: bool,
 }
@@ -199,11 +202,19 @@
             read_at: Duration::ZERO,
             failures: 0,
             woke: Duration::ZERO,
+            proof_wanted: false,
             lowered: false,
         }
     }
 }
 
+impl Store {
+    /// Until when our blocks were surely ours.
+    pub fn tenure(&self) -> Tenure {
+        Tenure::proven_until(self.contact)
+    }
+}
+
 impl Controller {
     /// How old our contact is; none: never had, or not since we stood still.
     pub(crate) fn contact_age(&self) -> Option<Duration> {
@@ -552,7 +563,8 @@
 
     /// Reads on for those who wait for an answer no older than their request.
     pub(crate) fn read_for_asks(&mut self) {
-        let doubts = self.store.contact.is_none_or(|at| at < self.store.woke);
+        let stood_still = self.store.contact.is_none_or(|at| at < self.store.woke);
+        let doubts = stood_still || self.store.proof_wanted;
         if self.store.read_pending
             || (self.admission.asks.is_empty() && !doubts)
             || self.now < self.store.read_at
@@ -565,6 +577,7 @@
             return;
         }
         self.store.read_pending = true;
+        self.store.proof_wanted = false;
         self.store.read_at = self.now + self.gap(READ_GAP, READ_SHARE);
         let asks = std::mem::take(&mut self.admission.asks);
         let after = self.view.revision;
