Takeover limit allows for drift; leases of blocks say why; settings errors say what would do

Cause: the takeover limit left out the drift of the contact limit, so that it was too short where that is more than 2,000 s; and the records of the incident could not tell why a block had been leased.

Leasing a block logs its reason, a type now. Settings that leave no contact limit are refused with the least cancel_s and the most lease_s that would do.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt,
     time::Duration,
 };
 
@@ -83,6 +84,33 @@
     pub complete: BTreeSet<JobId>,
 }
 
+/// Why the leader leases a block to a controller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseReason {
+    /// There was no such block.
+    NewBlock,
+    /// Its holder is no member any more.
+    HolderGone,
+    /// The controller is in its zone, unlike its holder.
+    Nearer,
+    /// The controller has fewer machines than its holder.
+    LessLoaded,
+    /// Its holder does not reach its workers; how that is known.
+    Unreachable(String),
+}
+
+impl fmt::Display for LeaseReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NewBlock => f.write_str("a new block"),
+            Self::HolderGone => f.write_str("its holder is gone"),
+            Self::Nearer => f.write_str("it is in the new holder's zone"),
+            Self::LessLoaded => f.write_str("the former holder has more machines"),
+            Self::Unreachable(why) => f.write_str(why),
+        }
+    }
+}
+
 impl Controller {
     /// Whether a leader's write can be made, and the condition for it.
     pub(crate) fn leader_cond(&self) -> Option<Cond> {
@@ -256,7 +284,7 @@
             if let Some(holder) = self.best_holder(&zone, &loads, None) {
                 let size = self.view.count_in(&id) + 1;
                 *loads.entry(holder.clone()).or_default() += size;
-                self.lease_block(id, version, zone, &holder);
+                self.lease_block(id, version, zone, &holder, &LeaseReason::HolderGone);
             }
         }
     }
@@ -267,6 +295,7 @@
         version: u64,
         zone: String,
         holder: &str,
+        reason: &LeaseReason,
     ) -> bool {
         let Some(member) = self.view.members.get(holder) else {
             return false;
@@ -296,7 +325,10 @@
         };
         let sent = self.duty(Duty::Lease(id), txn, Urgency::Safety);
         if sent {
-            log::info!("block {id} in {}: leased to {holder}", record.zone);
+            log::info!(
+                "block {id} in {}: leased to {holder}, after version {version}: {reason}",
+                record.zone
+            );
         }
         sent
     }
@@ -357,17 +389,20 @@
         }
         // Moves into a block's own zone come first: they change the loads by
         // which the others are judged.
-        let chosen = self
-            .better_holder(|near_now, near_then, _, _| near_then && !near_now)
+        let nearer = self.better_holder(|near_now, near_then, _, _| near_then && !near_now);
+        let chosen = nearer
+            .map(|found| (found, LeaseReason::Nearer))
             .or_else(|| {
-                self.better_holder(|near_now, near_then, gap, size| {
+                let less_loaded = self.better_holder(|near_now, near_then, gap, size| {
                     near_then >= near_now && gap > 2 * size + 2
-                })
+                })?;
+                Some((less_loaded, LeaseReason::LessLoaded))
             });
-        if let Some((id, holder)) = chosen
+        if let Some(((id, holder), reason)) = chosen
             && let Some(block) = self.view.blocks.get(&id)
         {
-            self.lease_block(id, block.version, block.record.zone.clone(), &holder);
+            let zone = block.record.zone.clone();
+            self.lease_block(id, block.version, zone, &holder, &reason);
         }
     }
 
@@ -413,7 +448,7 @@
         let newest = blocks.keys().chain(leader.making.keys()).max();
         let id = newest.map_or(0, |id| id + 1);
         if let Some(holder) = self.best_holder(&zone, &self.loads(), None)
-            && self.lease_block(id, 0, zone.clone(), &holder)
+            && self.lease_block(id, 0, zone.clone(), &holder, &LeaseReason::NewBlock)
             && let Some(leader) = &mut self.leader
         {
             leader.making.insert(id, zone);
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -12,7 +12,7 @@
 use crate::{
     call::{ConnId, Method, Output, Reply, Target},
     controller::{Controller, Pending, route},
-    leader::Duty,
+    leader::{Duty, LeaseReason},
     reach::Looked,
     records::{BlockId, Level},
     store::Urgency,
@@ -226,8 +226,8 @@
             let (zone, from) = (block.record.zone, block.record.holder);
             let holder = self.best_holder(&zone, &loads, Some(&from));
             let Some(holder) = holder else { continue };
-            if self.lease_block(found.block, block.version, zone.clone(), &holder) {
-                log::info!("block {}: {}", found.block, found.why);
+            let reason = LeaseReason::Unreachable(found.why);
+            if self.lease_block(found.block, block.version, zone.clone(), &holder, &reason) {
                 let size = self.view.count_in(&found.block) + 1;
                 *loads.entry(holder).or_default() += size;
                 self.reach.moved(now, &from, &zone, found.deaf);
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -269,9 +269,16 @@
             }
         }
         if self.contact_limit().is_zero() {
+            let (cancel, lease) = (p.workers.cancel_s, p.workers.lease_s);
+            let least_cancel = (lease * (1.0 + DRIFT) + SLACK.as_secs_f64()) / (1.0 - DRIFT);
+            let most_lease = (cancel * (1.0 - DRIFT) - SLACK.as_secs_f64()) / (1.0 + DRIFT);
+            let or_lease = match most_lease > 0.0 {
+                true => format!(", or `workers.lease_s` less than {most_lease:.2}"),
+                false => String::new(),
+            };
             return bad(format!(
-                "`workers.cancel_s` ({}) leaves no time for contact beyond `workers.lease_s` ({})",
-                p.workers.cancel_s, p.workers.lease_s
+                "`workers.cancel_s` ({cancel}) leaves no time for contact beyond `workers.lease_s` \
+                 ({lease}): it has to be more than {least_cancel:.2}{or_lease}"
             ));
         }
         Ok(())
@@ -294,9 +301,10 @@
     }
 
     /// The time between a block's new lease and the moment at which a machine
-    /// never heard from can hold none of an earlier holder's tasks.
+    /// never heard from can hold none of an earlier holder's tasks: that one acts for
+    /// the contact limit on its clock, and then the worker's lease runs on.
     pub fn takeover_limit(&self) -> Duration {
-        self.contact_limit() + self.lease_limit() + SLACK
+        self.contact_limit().mul_f64(1.0 + 2.0 * DRIFT) + self.lease_limit() + SLACK
     }
 
     /// Time between two reports.
