Settings whose contact limit is below 2 s are refused, as nobody is served with them

Cause: a controller's contact is as old as the sending of the last answered watch, which stays open for 0.8 s.

Change: less than 2 s is refused with the field and what would do.

--- a/crates/testkit/src/handover.rs
+++ b/crates/testkit/src/handover.rs
@@ -15,7 +15,7 @@
 /// What the settings need between `lease_s` and `cancel_s`, as a share of the lease and
 /// beyond that, so that a controller starts.
 const DRIFT_OF_LEASE: f64 = 1.002;
-const LEAST_CONTACT: Duration = Duration::from_millis(1600);
+const LEAST_BEYOND: Duration = Duration::from_millis(3600);
 
 /// Draws the faults of a day. Every half minute or so the state service refuses one
 /// controller; within a second of that it loses some workers, and the others lose
@@ -53,7 +53,7 @@
 pub fn draw_timing(seed: u64) -> Timing {
     let mut rng = fastrand::Rng::with_seed(seed ^ 0x7469_6d65);
     let lease = MS * rng.u32(6_000..40_000);
-    let least = lease.mul_f64(DRIFT_OF_LEASE) + LEAST_CONTACT;
+    let least = lease.mul_f64(DRIFT_OF_LEASE) + LEAST_BEYOND;
     // Close to the least as often as far from it.
     let beyond = rng.f64().powi(2);
     let cancel = least + (lease * 3).saturating_sub(least).mul_f64(beyond);
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -210,6 +210,10 @@
 const DRIFT: f64 = 0.0005;
 /// What timers, scheduling and packet delays can add.
 const SLACK: Duration = Duration::from_millis(1500);
+/// The least contact limit that serves anybody. Contact is as old as the sending of the
+/// last watch that was answered, and a watch stays open for 0.8 s: with less than this a
+/// controller turns its workers away again and again with nothing wrong at all.
+const LEAST_CONTACT: Duration = Duration::from_millis(2000);
 
 impl Settings {
     /// Reads and checks a settings file.
@@ -268,17 +272,18 @@
                 return bad(format!("team `{}`: shares have to be 0 or more", team.name));
             }
         }
-        if self.contact_limit().is_zero() {
+        if self.contact_limit() < LEAST_CONTACT {
             let (cancel, lease) = (p.workers.cancel_s, p.workers.lease_s);
-            let least_cancel = (lease * (1.0 + DRIFT) + SLACK.as_secs_f64()) / (1.0 - DRIFT);
-            let most_lease = (cancel * (1.0 - DRIFT) - SLACK.as_secs_f64()) / (1.0 + DRIFT);
+            let between = (SLACK + LEAST_CONTACT).as_secs_f64();
+            let least_cancel = (lease * (1.0 + DRIFT) + between) / (1.0 - DRIFT);
+            let most_lease = (cancel * (1.0 - DRIFT) - between) / (1.0 + DRIFT);
             let or_lease = match most_lease > 0.0 {
-                true => format!(", or `workers.lease_s` less than {most_lease:.2}"),
+                true => format!(", or `workers.lease_s` at most {most_lease:.2}"),
                 false => String::new(),
             };
             return bad(format!(
-                "`workers.cancel_s` ({cancel}) leaves no time for contact beyond `workers.lease_s` \
-                 ({lease}): it has to be more than {least_cancel:.2}{or_lease}"
+                "`workers.cancel_s` ({cancel}) leaves too little time for contact beyond `workers.lease_s` \
+                 ({lease}): it has to be at least {least_cancel:.2}{or_lease}"
             ));
         }
         Ok(())
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -56,12 +56,13 @@
     };
     let line = refused("28", "29");
     assert!(line.contains("`workers.cancel_s` (29)"), "{line}");
-    assert!(line.contains("more than 29.53"), "{line}");
-    assert!(line.contains("`workers.lease_s` less than 27.47"), "{line}");
-    assert!(settings("28", "29.54").is_ok() && settings("27.46", "29").is_ok());
-    assert!(settings("28", "29.52").is_err() && settings("27.48", "29").is_err());
+    assert!(line.contains("at least 31.53"), "{line}");
+    assert!(line.contains("`workers.lease_s` at most 25.47"), "{line}");
+    assert!(settings("28", "31.54").is_ok() && settings("25.46", "29").is_ok());
+    assert!(settings("28", "31.52").is_err() && settings("25.48", "29").is_err());
     let line = refused("1", "1");
-    assert!(line.contains("more than 2.50"), "{line}");
+    assert!(line.contains("at least 4.50"), "{line}");
+    assert!(!line.contains("or `workers.lease_s`"), "{line}");
     for (lease, cancel, field) in [
         ("0", "30", "workers.lease_s"),
         ("-1", "30", "workers.lease_s"),
