--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -2,6 +2,15 @@
 
 use std::{ops::Range, time::Duration};
 
+/// The way of a message between a controller and a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Reports, and answers to direct orders.
+    FromMachine,
+    /// Answers to reports, and direct orders.
+    ToMachine,
+}
+
 /// One trouble.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -77,6 +86,20 @@
         /// Until when.
         until: Duration,
     },
+    /// What a controller and some machines send each other is held up one way, and
+    /// arrives afterwards.
+    OneWay {
+        /// Which controller.
+        node: usize,
+        /// Which machines: those whose number leaves this rest by three.
+        rest: usize,
+        /// Which way.
+        way: Way,
+        /// From when.
+        from: Duration,
+        /// Until when.
+        until: Duration,
+    },
     /// Connections between controllers are refused.
     PeersRefuse {
         /// From when.
@@ -347,6 +370,7 @@
             | Self::Outage { from, until }
             | Self::CloudOutage { from, until }
             | Self::CutWorkers { from, until, .. }
+            | Self::OneWay { from, until, .. }
             | Self::Frozen { from, until, .. }
             | Self::Behind { from, until, .. }
             | Self::Slow { from, until, .. }
--- a/crates/testkit/src/handover.rs
+++ b/crates/testkit/src/handover.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::{Fault, Timing};
+use crate::{Fault, Timing, Way};
 
 const S: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
@@ -48,6 +48,84 @@
     faults
 }
 
+/// Draws the faults of a day with links by pair: between each controller and each third
+/// of the machines, both ways, one way or not at all, while controllers are refused by
+/// the state service, cut from it, end and come back within moments, and old messages
+/// are about. All is over by `end`.
+pub fn draw_links(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6c69_6e6b);
+    let mut faults = Vec::new();
+    let mut at = S * rng.u32(15..30);
+    while at + S * 31 < end {
+        let length = |rng: &mut fastrand::Rng| MS * rng.u32(3_000..30_000);
+        let node = rng.usize(0..nodes);
+        let until = at + length(&mut rng);
+        let from = at;
+        faults.push(match rng.u32(0..5) {
+            0 | 1 => Fault::Refused { node, from, until },
+            2 | 3 => Fault::CutState { node, from, until },
+            _ => Fault::Ends {
+                node,
+                at,
+                back: MS * rng.u32(200..9_000),
+            },
+        });
+        for pair in 0..nodes * 3 {
+            let (node, rest) = (pair / 3, pair % 3);
+            let from = at + MS * rng.u32(0..4000);
+            let until = (from + length(&mut rng)).min(end);
+            let one_way = |way| Fault::OneWay {
+                node,
+                rest,
+                way,
+                from,
+                until,
+            };
+            match rng.u32(0..20) {
+                0..10 => {}
+                10..14 => faults.push(Fault::CutWorkers {
+                    node: Some(node),
+                    rest: Some(rest),
+                    from,
+                    until,
+                }),
+                14..17 => faults.push(one_way(Way::ToMachine)),
+                _ => faults.push(one_way(Way::FromMachine)),
+            }
+        }
+        at += S * rng.u32(12..40);
+    }
+    let (from, until) = (S * 20, end);
+    let one_in = rng.u32(3..10);
+    faults.push(match rng.u32(0..5) {
+        0 => Fault::LateReports {
+            one_in,
+            from,
+            until: end - crate::faults::LATEST_REPORT,
+        },
+        1 => Fault::HeldOrders {
+            one_in,
+            from,
+            until: end - crate::faults::LATEST_ORDER,
+        },
+        2 => Fault::Copies {
+            one_in,
+            from,
+            until,
+        },
+        3 => Fault::Sick {
+            machine: rng.usize(0..6),
+            at: from,
+        },
+        _ => Fault::LateWrites {
+            one_in,
+            from,
+            until: end - crate::faults::LATEST_WRITE,
+        },
+    });
+    faults
+}
+
 /// Draws settings under which a controller starts: leases from 6 s to 40 s, and from
 /// hardly more time for a cancellation than a lease to three times that. Clocks drift.
 pub fn draw_timing(seed: u64) -> Timing {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -21,10 +21,11 @@
 
 pub use evidence::Evidence;
 pub use faults::{
-    Fault, draw, draw_behind, draw_meetings, draw_quick, draw_roll, draw_slow, draw_troubles, over,
+    Fault, Way, draw, draw_behind, draw_meetings, draw_quick, draw_roll, draw_slow, draw_troubles,
+    over,
 };
 pub use guest::{Guest, GuestAsk, Wish};
-pub use handover::{draw_handovers, draw_timing};
+pub use handover::{draw_handovers, draw_links, draw_timing};
 pub use rules::{Broken, Rules};
 pub use state::{Done, Limits as StateLimits, State};
 pub use world::{Crowd, Load, Outcome, Size, Timing, World};
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -11,7 +11,7 @@
 use super::{Asker, Event, MS, NODES, REPORT_PATIENCE, World};
 use crate::{
     evidence::Hung,
-    faults::{Fault, LATEST_REPORT},
+    faults::{Fault, LATEST_REPORT, Way},
 };
 
 /// Whether a machine is one of those that a trouble befalls.
@@ -114,7 +114,9 @@
         {
             // It went elsewhere and has closed this one.
             self.lines.remove(name);
-            let at = self.worker_cut(old, name).unwrap_or(now + latency);
+            let at = self
+                .worker_cut(old, name, Way::FromMachine)
+                .unwrap_or(now + latency);
             self.at(at, Event::Ends(old, life, id));
         }
         let Some(worker) = self.workers.get_mut(name) else {
@@ -125,7 +127,7 @@
         let report = self.next_id;
         worker.in_flight = Some((report, now));
         self.reports.insert(report, (session, now));
-        let at = match self.worker_cut(node, name) {
+        let at = match self.worker_cut(node, name, Way::FromMachine) {
             Some(until) => until + latency,
             None => now + latency,
         };
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -13,7 +13,7 @@
 use super::{Asker, Event, MS, S, World, ZONES};
 use crate::{
     evidence::{LateOrder, LateWrite},
-    faults::{Fault, LATEST_ORDER, LATEST_WRITE},
+    faults::{Fault, LATEST_ORDER, LATEST_WRITE, Way},
     state::Done,
 };
 
@@ -121,7 +121,8 @@
             Asker::Guest { token, .. } => self.guest_answered(token, None),
             Asker::Look { .. } | Asker::Odd { .. } => {}
             Asker::Worker { name, report } => {
-                let at = self.worker_cut(node, &name).unwrap_or(self.now + MS);
+                let cut = self.worker_cut(node, &name, Way::ToMachine);
+                let at = cut.unwrap_or(self.now + MS);
                 self.at(at, Event::ReportAnswer(report, name, 0, Vec::new()));
             }
             Asker::Peer { node, life, id } => {
@@ -168,8 +169,8 @@
         })
     }
 
-    /// Until when a controller and a machine are cut.
-    pub(super) fn worker_cut(&self, n: usize, name: &str) -> Option<Duration> {
+    /// Until when what a controller and a machine send each other is held up one way.
+    pub(super) fn worker_cut(&self, n: usize, name: &str, by: Way) -> Option<Duration> {
         let now = self.now;
         let number: usize = name.trim_start_matches("vm-").parse().unwrap_or(0);
         let zone_of = |name| self.workers.get(name).map(|w| w.site.zone.as_str());
@@ -180,6 +181,19 @@
             {
                 Some(*until)
             }
+            Fault::OneWay {
+                node,
+                rest,
+                way,
+                from,
+                until,
+            } if *node == n
+                && number % 3 == *rest
+                && *way == by
+                && (*from..*until).contains(&now) =>
+            {
+                Some(*until)
+            }
             Fault::CutWorkers {
                 node,
                 rest,
@@ -254,7 +268,7 @@
         let timeout = self.now + call.timeout;
         let cut = match &call.to {
             Target::State => self.state_cut(node),
-            Target::Worker(name) => self.worker_cut(node, name),
+            Target::Worker(name) => self.worker_cut(node, name, Way::ToMachine),
             Target::Cloud => None,
             Target::Peer(name) if self.peers_cut(node, number_of(name)) => {
                 return self.at(timeout, Event::Reply(node, life, id, Reply::Lost));
@@ -497,7 +511,7 @@
                 let body = encode(&worker.report(now));
                 if let Some(lag) = self.copied() {
                     self.at(now + lag, Event::Copy(call));
-                } else if self.worker_cut(node, &name).is_none() {
+                } else if self.worker_cut(node, &name, Way::FromMachine).is_none() {
                     self.answer_call(node, life, id, status, body);
                 }
             }
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -10,6 +10,7 @@
 
 use super::{Ask, Asker, Event, MS, NODES, S, USER_PATIENCE, World, looks::LookAnswer};
 use crate::{
+    Way,
     faults::Fault,
     guest::{GuestAsk, Wish},
 };
@@ -156,7 +157,7 @@
             Asker::Odd { job, oddity } => self.odd_answered(&job, oddity, status),
             Asker::Worker { name, report } => {
                 let latency = self.latency() + self.late_answers(node);
-                let at = match self.worker_cut(node, &name) {
+                let at = match self.worker_cut(node, &name, Way::ToMachine) {
                     Some(until) => until + latency,
                     None => self.now + latency,
                 };
--- a/crates/testkit/tests/handover.rs
+++ b/crates/testkit/tests/handover.rs
@@ -5,7 +5,8 @@
 
 use oliveshift_core::Sabotage;
 use oliveshift_testkit::{
-    Broken, Fault, Outcome, Size, Timing, World, draw_handovers, draw_timing, draw_troubles,
+    Broken, Fault, Outcome, Size, Timing, World, draw_handovers, draw_links, draw_timing,
+    draw_troubles,
 };
 
 const NODES: usize = 3;
@@ -88,3 +89,46 @@
         safe_whatever_the_settings(seed, draw_troubles);
     }
 }
+
+/// Links between each controller and each third of the machines, both ways and one way.
+#[test]
+fn drawn_links_by_pair_break_no_rule() {
+    for seed in 700..740 {
+        safe_whatever_the_settings(seed, draw_links);
+    }
+}
+
+/// Plays days side by side; a panic of one is passed on.
+fn side_by_side(seeds: std::ops::Range<u64>, play: impl Fn(u64) + Sync) {
+    let next = std::sync::atomic::AtomicU64::new(seeds.start);
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        break;
+                    }
+                    play(seed);
+                }
+            });
+        }
+    });
+}
+
+/// The same search on more days, and with hundreds of machines.
+#[test]
+#[ignore = "takes minutes"]
+fn many_drawn_settings_and_links() {
+    side_by_side(10_000..10_600, |seed| {
+        safe_whatever_the_settings(seed, draw_handovers);
+        safe_whatever_the_settings(seed, draw_links);
+    });
+    side_by_side(10_600..10_612, |seed| {
+        let (timing, faults) = (draw_timing(seed), draw_links(seed, NODES, CALM));
+        let outcome = World::timed(Size::GROWN, timing, seed, BUSY, faults, None).run(END);
+        let mut broken = outcome.broken.iter().filter(|b| is_about_safety(b.1));
+        assert_eq!(broken.next(), None, "grown, seed {seed}, {timing:?}");
+    });
+}
