Exhaustive exploration of a block that changes hands, with whole controllers

With the guards of off the fault shows in two choices: the state service refuses the holder, and the next one does not reach one machine. No link between the old holder and the other machine has to fail: that one goes over to the next holder, and its silence was all that the old one went by.

--- /dev/null
+++ b/crates/testkit/tests/exploration.rs
@@ -0,0 +1,224 @@
+//! A small exhaustive search: every history of a few links that go up and down while
+//! blocks change hands, with whole controllers.
+//!
+//! One task runs on one of two machines of a block, beside a replica on each that keeps the
+//! machines from being returned as idle. At each of a few moments one of the
+//! links between two controllers, the two machines and the state service goes down or
+//! comes up again, or none does; all that follows is the controllers' own. Nothing is
+//! drawn, so a history is its list of choices.
+
+use std::time::Duration;
+
+use oliveshift_core::Sabotage;
+use oliveshift_testkit::{Broken, Fault, Outcome, Size, Timing, World};
+use oliveshift_wire::job::{JobSpec, Priority, Shape};
+
+const S: Duration = Duration::from_secs(1);
+const MS: Duration = Duration::from_millis(1);
+/// The two controllers of the machines' zone.
+const CONTROLLERS: [usize; 2] = [0, 2];
+/// The two machines, by the rests of their numbers by three.
+const MACHINES: [usize; 2] = [0, 2];
+/// A worker gives a report up after 4 s and so finds another controller within its lease,
+/// which is over well within the contact limit of 12.5 s.
+const TIMING: Timing = Timing {
+    report: Duration::from_millis(1000),
+    lease: Duration::from_millis(8000),
+    cancel: Duration::from_millis(22_000),
+    drifts: false,
+};
+/// When the first choice is made and how far apart they are: the block changes hands
+/// some 3.5 s after its holder has lost the state service.
+const FIRST: Duration = Duration::from_millis(12_000);
+const APART: Duration = Duration::from_millis(1200);
+/// When all links are up again, and when a history is over.
+const HEALED: Duration = Duration::from_millis(32_000);
+const END: Duration = Duration::from_secs(55);
+
+/// A link that can go down.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Link {
+    State(usize),
+    Machine { node: usize, rest: usize },
+}
+
+fn links() -> Vec<Link> {
+    let mut links: Vec<_> = CONTROLLERS.map(Link::State).to_vec();
+    for node in CONTROLLERS {
+        links.extend(MACHINES.map(|rest| Link::Machine { node, rest }));
+    }
+    links
+}
+
+impl Link {
+    fn down(self, from: Duration, until: Duration) -> Fault {
+        match self {
+            Self::State(node) => Fault::Refused { node, from, until },
+            Self::Machine { node, rest } => Fault::CutWorkers {
+                node: Some(node),
+                rest: Some(rest),
+                from,
+                until,
+            },
+        }
+    }
+}
+
+/// The links that go down and come up at the given moments, as faults. `choices`: which
+/// link changes at each moment; beyond the last: none.
+fn faults(choices: &[usize]) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (i, link) in links().into_iter().enumerate() {
+        let mut down_since = None;
+        for (step, choice) in choices.iter().enumerate() {
+            let at = FIRST + APART * step as u32;
+            if *choice != i {
+                continue;
+            }
+            match down_since.take() {
+                None => down_since = Some(at),
+                Some(from) => faults.push(link.down(from, at)),
+            }
+        }
+        faults.extend(down_since.map(|from| link.down(from, HEALED)));
+    }
+    faults
+}
+
+/// The task that is watched: there is room for it on either machine.
+fn job() -> JobSpec {
+    JobSpec {
+        id: "j-000001".parse().expect("an id"),
+        class: "some".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        priority: Priority::High,
+        tasks: 1,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img-0".into(),
+        image_gb: 0.5,
+        types: None,
+        zone: Some("east".into()),
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 25.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        awaits: Vec::new(),
+    }
+}
+
+/// A replica for each machine.
+fn replicas() -> JobSpec {
+    JobSpec {
+        id: "j-000002".parse().expect("an id"),
+        shape: Shape::Service,
+        priority: Priority::Production,
+        tasks: 2,
+        cpus: 3.0,
+        estimate_s: 0.0,
+        ..job()
+    }
+}
+
+fn play(choices: &[usize], sabotage: Option<Sabotage>) -> Outcome {
+    let size = Size {
+        machines: 4,
+        jobs: 0,
+        ..Size::SMALL
+    };
+    let mut world = World::timed(size, TIMING, 1, S, faults(choices), sabotage);
+    world.steady();
+    world.user(MS * 2000, replicas());
+    world.user(MS * 4000, job());
+    world.run(END)
+}
+
+/// What an exploration has found.
+#[derive(Debug, Default)]
+struct Explored {
+    histories: usize,
+    /// Those on which workers were served by more than one of the controllers, on
+    /// which the task started again, and on which it was lost with a lease.
+    changed_hands: usize,
+    started_again: usize,
+    leases_lost: usize,
+    broken: Vec<(Vec<usize>, Broken)>,
+}
+
+/// Plays all histories of so many choices, side by side.
+fn explore(depth: u32, sabotage: Option<Sabotage>) -> Explored {
+    let ways = links().len() + 1;
+    let count = ways.pow(depth);
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let explored = std::sync::Mutex::new(Explored::default());
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let work = || {
+        loop {
+            let mut number = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            if number >= count {
+                break;
+            }
+            let mut choices = Vec::new();
+            for _ in 0..depth {
+                choices.push(number % ways);
+                number /= ways;
+            }
+            let outcome = play(&choices, sabotage);
+            let mut found = explored.lock().expect("no panic before");
+            found.histories += 1;
+            let mut served: Vec<_> = outcome.evidence.renewed.iter().map(|r| r.1).collect();
+            served.sort_unstable();
+            served.dedup();
+            found.changed_hands += usize::from(served.len() > 2);
+            let watched = outcome.starts.iter().filter(|s| s.1.job == job().id);
+            found.started_again += usize::from(watched.count() > 1);
+            found.leases_lost += usize::from(outcome.lost > 0);
+            let broken = outcome.broken.first().map(|b| (choices, b.1));
+            found.broken.extend(broken);
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(work);
+        }
+    });
+    explored.into_inner().expect("no panic")
+}
+
+/// Plays all histories of so many choices; none may break a rule, and they have to
+/// show what the search is about.
+fn holds(depth: u32) {
+    let explored = explore(depth, None);
+    println!("{depth} choices: {explored:?}");
+    assert_eq!(explored.broken, []);
+    assert_eq!(explored.histories, (links().len() + 1).pow(depth));
+    assert!(explored.changed_hands * 4 > explored.histories);
+    assert!(explored.started_again * 10 > explored.histories);
+    assert!(explored.leases_lost * 4 > explored.histories);
+}
+
+#[test]
+fn every_history_of_three_choices_holds() {
+    holds(3);
+}
+
+#[test]
+#[ignore = "takes minutes"]
+fn every_history_of_five_choices_holds() {
+    holds(5);
+}
+
+/// Two choices are enough: the state service refuses the holder, and the next one does
+/// not reach one of the machines. The other machine goes over to the next holder with its
+/// task, and its silence then was all that the old holder went by.
+#[test]
+fn trusting_silence_is_found_in_two_choices() {
+    let explored = explore(2, Some(Sabotage::StaleEvidence));
+    let ran_twice = explored.broken.iter().filter(|b| b.1 == Broken::RanTwice);
+    assert_eq!(ran_twice.count(), 2, "{explored:?}");
+}
