--- a/crates/soak/src/controllers.rs
+++ b/crates/soak/src/controllers.rs
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use crate::site::{CANCEL, CPUS_OF_SIX, LEASE, TXN_OPS, VALUE_KB, ZONES};
+use crate::site::{CPUS_OF_SIX, TXN_OPS, Timing, VALUE_KB, ZONES};
 
 /// Last lines of its log that are shown of a controller that ended by itself.
 const LAST_LINES: usize = 8;
@@ -61,7 +61,13 @@
         (number < self.public.len()).then_some(number)
     }
 
-    fn settings(&self, node: usize, machines: u32, write_rps: f64) -> serde_json::Value {
+    fn settings(
+        &self,
+        node: usize,
+        machines: u32,
+        write_rps: f64,
+        timing: Timing,
+    ) -> serde_json::Value {
         let cpus = f64::from(machines) / 6.0 * CPUS_OF_SIX;
         let zone = |node: usize| ZONES[node % ZONES.len()];
         let members: Vec<_> = (0..self.public.len())
@@ -91,8 +97,8 @@
                 "objectives": [],
                 "workers": {
                     "report_s": 2.0,
-                    "lease_s": LEASE.as_secs_f64(),
-                    "cancel_s": CANCEL.as_secs_f64(),
+                    "lease_s": timing.lease_s,
+                    "cancel_s": timing.cancel_s,
                 },
                 "state": {
                     "rps": STATE_RPS,
@@ -138,12 +144,15 @@
         addresses: &Addresses,
         machines: u32,
         write_rps: f64,
+        timing: Timing,
     ) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
         let mut all = Vec::new();
         for node in 0..addresses.public.len() {
             let settings = folder.join(format!("n-{node}.json"));
-            let text = addresses.settings(node, machines, write_rps).to_string();
+            let text = addresses
+                .settings(node, machines, write_rps, timing)
+                .to_string();
             fs::write(&settings, text)?;
             let log = folder.join(format!("n-{node}.log"));
             File::create(&log)?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,6 +7,9 @@
 /// The least and the most time from one fault to the next, in milliseconds.
 const GAP_MS: Range<u64> = 400..5000;
 
+/// The least time for which a controller is refused while others take its blocks.
+const LEAST_REFUSED_MS: u64 = 8000;
+
 /// A fault.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -76,6 +79,13 @@
         /// One of so many.
         one_in: u32,
     },
+    /// A controller and some machines do not hear each other.
+    CutPair {
+        /// Which controller.
+        controller: usize,
+        /// Which machines: those whose number leaves this rest by four.
+        rest: u32,
+    },
     /// Users call off some jobs at the same moment.
     Cancel {
         /// How many.
@@ -134,6 +144,41 @@
     faults
 }
 
+/// Draws times in which the state service refuses a controller, and from about then on
+/// it and each of the others are cut from some machines: blocks change hands between
+/// controllers that reach different ones.
+pub fn draw_handovers(rng: &mut fastrand::Rng, controllers: usize, end: Duration) -> Vec<Timed> {
+    let end_ms = end.as_millis() as u64;
+    let mut faults = Vec::new();
+    let mut at = 10_000 + rng.u64(GAP_MS);
+    while at + LEAST_REFUSED_MS < end_ms {
+        let refused = rng.usize(0..controllers);
+        let lasts = rng.u64(LEAST_REFUSED_MS..28_000);
+        let until_ms = (at + lasts).min(end_ms);
+        faults.push(Timed {
+            from_ms: at,
+            until_ms,
+            fault: Fault::RefuseState {
+                controller: refused,
+            },
+        });
+        let rest = rng.u32(0..4);
+        for controller in 0..controllers {
+            let own = u32::from(controller != refused);
+            faults.push(Timed {
+                from_ms: at + rng.u64(0..1500),
+                until_ms,
+                fault: Fault::CutPair {
+                    controller,
+                    rest: (rest + own) % 4,
+                },
+            });
+        }
+        at += lasts + rng.u64(GAP_MS);
+    }
+    faults
+}
+
 fn draw_fault(rng: &mut fastrand::Rng, controllers: usize) -> Fault {
     let controller = rng.usize(0..controllers);
     let one_in = rng.u32(2..8);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::faults::Timed;
+use crate::{faults::Timed, site::Timing};
 
 /// Most findings of a kind that are shown.
 const MOST_SHOWN: usize = 3;
@@ -29,6 +29,8 @@
     pub controllers: u32,
     /// Machines up at the beginning.
     pub machines: u32,
+    /// Workers' leases and cancellations.
+    pub timing: Timing,
     /// How long it took, in seconds.
     pub seconds: u64,
     /// Answers that changes are no longer kept.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,11 +11,11 @@
 use crate::{
     cloud,
     controllers::{Addresses, Controllers, free_ports, own_address},
-    faults::{Fault, Timed, draw},
+    faults::{Fault, Timed, draw, draw_handovers},
     http,
     options::Options,
     record::{Break, Record},
-    site::{Shared, Site},
+    site::{Shared, Site, Timing},
     state,
     users::Users,
     workers,
@@ -78,10 +78,14 @@
     let troubled = options.troubled();
     let write_rps = WRITES + WRITES_PER_MACHINE * f64::from(options.machines);
     let mut rng = fastrand::Rng::with_seed(seed);
-    let faults = draw(&mut rng, nodes, troubled);
+    let mut faults = draw(&mut rng, nodes, troubled);
+    let mut other_rng = fastrand::Rng::with_seed(!seed);
+    let timing = Timing::draw(&mut other_rng);
+    faults.extend(draw_handovers(&mut other_rng, nodes, troubled));
+    faults.sort_by_key(|fault| fault.from_ms);
     let jobs = JOBS_PER_MACHINE * f64::from(options.machines) * options.minutes;
     let users = Users::draw(&mut rng, jobs.ceil() as usize, troubled.mul_f64(0.9));
-    let mut site = Site::new(options.machines, write_rps, seed);
+    let mut site = Site::new(options.machines, write_rps, timing, seed);
     site.faults = faults.clone();
     let site = Rc::new(RefCell::new(site));
     let addresses = serve(&executor, &site, nodes).map_err(Failure::Ports)?;
@@ -91,6 +95,7 @@
         &addresses,
         options.machines,
         write_rps,
+        timing,
     );
     let mut play = Play {
         executor,
@@ -212,6 +217,7 @@
             seed,
             controllers: options.controllers,
             machines: options.machines,
+            timing: site.timing,
             seconds: site.now().as_secs(),
             too_old: site.state.too_old,
             accepted,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -9,11 +9,18 @@
 };
 
 use async_io::Timer;
-use oliveshift_core::{Call, Method, Target};
+use oliveshift_core::{
+    Call, Method, Target,
+    records::{BlockRecord, Key, Term, from_value},
+};
 use oliveshift_testkit::{
     Rules, State, StateLimits, cloud::Cloud, rules::Site as Place, worker::Worker,
 };
-use oliveshift_wire::worker::Report;
+use oliveshift_wire::{
+    state::{Change, Txn, TxnAnswer},
+    worker::Report,
+};
+use serde::Serialize;
 
 use crate::{
     faults::{Fault, Timed},
@@ -22,9 +29,6 @@
 
 /// The zones of the site.
 pub const ZONES: [&str; 2] = ["east", "west"];
-/// The lease of a worker, and the time until tasks of cancelled jobs are gone.
-pub const LEASE: Duration = Duration::from_secs(12);
-pub const CANCEL: Duration = Duration::from_secs(30);
 /// What the state service takes.
 pub const VALUE_KB: usize = 16;
 pub const TXN_OPS: usize = 20;
@@ -36,6 +40,36 @@
 /// How often time passes for all machines, at least.
 const PASS_EVERY: Duration = Duration::from_millis(10);
 
+/// What the settings say of workers' leases and of cancellations.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Timing {
+    /// A worker's lease, in seconds.
+    pub lease_s: f64,
+    /// The time until tasks of cancelled jobs are gone, in seconds.
+    pub cancel_s: f64,
+}
+
+impl Timing {
+    /// Draws leases from 6 s to 20 s, and the rest so that a controller may act without
+    /// new contact for 2.5 s to one and a half leases.
+    pub fn draw(rng: &mut fastrand::Rng) -> Self {
+        let lease_s = 6.0 + rng.f64() * 14.0;
+        let contact_s = 2.5 + rng.f64() * (lease_s * 1.5 - 2.5);
+        Self {
+            lease_s,
+            cancel_s: lease_s * 1.002 + 1.5 + contact_s,
+        }
+    }
+
+    fn lease(&self) -> Duration {
+        Duration::from_secs_f64(self.lease_s)
+    }
+
+    fn cancel(&self) -> Duration {
+        Duration::from_secs_f64(self.cancel_s)
+    }
+}
+
 /// The site, shared by all that serve and ask.
 pub type Shared = Rc<RefCell<Site>>;
 
@@ -51,6 +85,10 @@
 /// All that the controllers deal with.
 pub struct Site {
     started: Instant,
+    /// Workers' leases and cancellations.
+    pub timing: Timing,
+    /// Who took a block, by its term.
+    holders: BTreeMap<Term, usize>,
     /// The state service.
     pub state: State,
     /// The cloud.
@@ -69,7 +107,7 @@
 
 impl Site {
     /// A site with some machines up.
-    pub fn new(machines: u32, write_rps: f64, seed: u64) -> Self {
+    pub fn new(machines: u32, write_rps: f64, timing: Timing, seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let zones = ZONES.map(String::from);
         let factor = f64::from(machines) / 6.0;
@@ -92,7 +130,9 @@
             state,
             cloud,
             machines: BTreeMap::new(),
-            rules: Rules::new(limits.into(), CANCEL),
+            timing,
+            holders: BTreeMap::new(),
+            rules: Rules::new(limits.into(), timing.cancel()),
             faults: Vec::new(),
             rng,
             passed: Duration::ZERO,
@@ -142,6 +182,42 @@
         deaf.is_some()
     }
 
+    /// Whether a controller and a machine do not hear each other.
+    pub fn is_cut(&self, controller: usize, name: &str) -> bool {
+        let cut = self.lasting(|f| match f {
+            Fault::CutPair {
+                controller: of,
+                rest,
+            } if *of == controller && is_of(name, *rest) => Some(()),
+            _ => None,
+        });
+        cut.is_some()
+    }
+
+    /// Whether the holder of a block under some term is cut from a machine. A term is
+    /// that of one holder.
+    pub fn is_holder_cut(&self, term: Term, name: &str) -> bool {
+        let holder = self.holders.get(&term);
+        holder.is_some_and(|holder| self.is_cut(*holder, name))
+    }
+
+    /// Takes in what a transaction that was carried out has written of blocks.
+    pub fn note_holders(&mut self, txn: Txn, answer: &TxnAnswer) {
+        for change in txn.changes {
+            let Change::Put { key, value, .. } = change else {
+                continue;
+            };
+            if !matches!(Key::parse(&key), Some(Key::Block(_))) {
+                continue;
+            }
+            let record: Option<BlockRecord> = from_value(value);
+            let holder = record.and_then(|r| r.holder.strip_prefix("n-")?.parse().ok());
+            if let Some(holder) = holder {
+                self.holders.insert(answer.revision, holder);
+            }
+        }
+    }
+
     /// Whether a machine reaches no controller.
     pub fn is_mute(&self, name: &str) -> bool {
         let mute = self.lasting(|f| match f {
@@ -201,7 +277,8 @@
             zone: rented.zone,
             spot: rented.spot,
         };
-        let worker = Worker::new(name.to_owned(), place, kind, LEASE, now);
+        let lease = self.timing.lease();
+        let worker = Worker::new(name.to_owned(), place, kind, lease, now);
         let machine = Machine { worker, address };
         self.machines.insert(name.to_owned(), machine);
     }
--- a/crates/soak/src/state.rs
+++ b/crates/soak/src/state.rs
@@ -5,6 +5,10 @@
 use async_io::Timer;
 use oliveshift_core::{Method, Target};
 use oliveshift_testkit::Done;
+use oliveshift_wire::{
+    decode,
+    state::{Txn, TxnAnswer},
+};
 
 use crate::{
     faults::Fault,
@@ -82,7 +86,14 @@
         let mut site = site.borrow_mut();
         site.pass();
         let now = site.now();
-        site.state.execute(now, &call(Target::State, asked))
+        let txn = decode::<Txn>(&asked.body);
+        let done = site.state.execute(now, &call(Target::State, asked));
+        if let (Ok(txn), Done::Answer(200, body)) = (txn, &done)
+            && let Ok(answer) = decode::<TxnAnswer>(body)
+        {
+            site.note_holders(txn, &answer);
+        }
+        done
     };
     match done {
         Done::Answer(status, body) => Told { status, body },
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -35,6 +35,10 @@
     if site.borrow().is_deaf(&name) {
         return None;
     }
+    let orders = decode::<DirectOrders>(&asked.body);
+    if orders.is_ok_and(|o| site.borrow().is_holder_cut(o.token, &name)) {
+        return None;
+    }
     if asked.path == "/inspect" {
         let report = site.borrow_mut().report(&name)?;
         return Some(Told {
@@ -113,8 +117,8 @@
         };
         executor.spawn(again).detach();
     }
-    let is_mute = site.borrow().is_mute(&name);
-    let told = match is_mute {
+    let is_lost = site.borrow().is_mute(&name) || site.borrow().is_cut(target, &name);
+    let told = match is_lost {
         true => None,
         false => ask(addresses.public[target], asked, PATIENCE).await,
     };
@@ -122,7 +126,8 @@
     if let Some(over) = hangs {
         until(&site, over).await;
     }
-    let told = told.filter(|_| !site.borrow().is_deaf(&name));
+    let lost_now = site.borrow().is_deaf(&name) || site.borrow().is_cut(target, &name);
+    let told = told.filter(|_| !lost_now);
     end_report(&site, &name, session, sent, told, &addresses);
 }
 
