--- /dev/null
+++ b/crates/testkit/src/draws.rs
@@ -0,0 +1,336 @@
+//! Days drawn from a seed, by the kinds of trouble that they mix.
+
+use std::time::Duration;
+
+use crate::faults::{Fault, new_from};
+
+/// Draws a day's troubles, all of them over by `end`.
+pub fn draw(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let s = Duration::from_secs;
+    let count = rng.usize(3..=7);
+    let mut faults = Vec::new();
+    for _ in 0..count {
+        let from = s(rng.u64(15..end.as_secs() - 20));
+        let until = (from + s(rng.u64(4..60))).min(end);
+        let node = rng.usize(0..nodes);
+        faults.push(match rng.u32(0..10) {
+            0 | 1 => Fault::Crash { node, at: from },
+            2 => Fault::CutState { node, from, until },
+            3 => Fault::Refused { node, from, until },
+            4 => Fault::Outage { from, until },
+            5 => Fault::CutWorkers {
+                node: Some(node),
+                rest: None,
+                from,
+                until,
+            },
+            6 => Fault::CutWorkers {
+                node: None,
+                rest: Some(rng.usize(0..3)),
+                from,
+                until,
+            },
+            7 => Fault::Taken { at: from },
+            8 => Fault::CloudOutage { from, until },
+            _ => Fault::Sick {
+                machine: rng.usize(0..6),
+                at: from,
+            },
+        });
+    }
+    if rng.u32(0..4) == 0 {
+        let from = s(rng.u64(15..end.as_secs() - 30));
+        let until = from + s(20);
+        faults.push(Fault::PeersRefuse { from, until });
+    }
+    if rng.bool() {
+        let at = s(rng.u64(15..end.as_secs() - 20));
+        faults.extend((0..nodes).map(|node| Fault::Crash { node, at }));
+    }
+    faults
+}
+
+/// Draws a day on which the program is replaced and the limits are lowered
+/// some time later, among the usual troubles.
+pub fn draw_roll(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x726f_6c6c);
+    let ms = Duration::from_millis;
+    let at = ms(rng.u64(15_000..50_000));
+    let every = ms(rng.u64(2_000..15_000));
+    let first = rng.usize(0..nodes);
+    faults.push(Fault::Roll { first, at, every });
+    let new = new_from(&faults, nodes);
+    faults.push(Fault::Lower {
+        at: new + ms(rng.u64(0..60_000)),
+    });
+    if rng.u32(0..3) == 0 {
+        let from = ms(rng.u64(15_000..160_000));
+        let until = from + ms(rng.u64(500..5_000));
+        faults.push(Fault::LostAnswers {
+            one_in: 1,
+            from,
+            until,
+        });
+    }
+    faults
+}
+
+/// Draws a day on which controllers are behind among the usual troubles.
+pub fn draw_behind(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6265_6869);
+    let ms = Duration::from_millis;
+    for node in 0..nodes {
+        for _ in 0..rng.usize(0..=2) {
+            let from = ms(rng.u64(15_000..120_000));
+            let lag = ms(rng.u64(300..12_000));
+            let until = (from + ms(rng.u64(5_000..60_000))).min(end);
+            faults.push(Fault::Behind {
+                node,
+                lag,
+                from,
+                until,
+            });
+        }
+        if rng.bool() {
+            let from = ms(rng.u64(15_000..120_000));
+            let lag = ms(rng.u64(100..3_900));
+            let until = (from + ms(rng.u64(20_000..90_000))).min(end);
+            faults.push(Fault::LateAnswers {
+                node,
+                lag,
+                from,
+                until,
+            });
+        }
+    }
+    faults
+}
+
+/// Draws a day on which controllers have too little processor time among the
+/// usual troubles.
+pub fn draw_slow(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x736c_6f77);
+    let ms = Duration::from_millis;
+    for node in 0..nodes {
+        let from = ms(rng.u64(15_000..110_000));
+        faults.push(Fault::Slow {
+            node,
+            each: ms(rng.u64(40..700)),
+            from,
+            until: (from + ms(rng.u64(10_000..60_000))).min(end),
+        });
+    }
+    faults
+}
+
+/// Draws a day on which controllers are back at once, the usual ends included:
+/// one by one, all together, several times within seconds, and in the middle of
+/// an election, while late copies of old messages are about.
+pub fn draw_quick(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x7175_6963);
+    let ms = Duration::from_millis;
+    let mut faults = draw(seed, nodes, end);
+    let back = |rng: &mut fastrand::Rng| match rng.u32(0..4) {
+        0 => ms(rng.u64(20..60)),
+        1 | 2 => ms(rng.u64(60..800)),
+        _ => ms(rng.u64(800..5000)),
+    };
+    for fault in &mut faults {
+        if let Fault::Crash { node, at } = *fault {
+            let back = back(&mut rng);
+            *fault = Fault::Ends { node, at, back };
+        }
+    }
+    let last = end.as_millis() as u64 - 15_000;
+    for _ in 0..rng.usize(2..6) {
+        let mut at = ms(rng.u64(5_000..last));
+        let node = rng.usize(0..nodes);
+        match rng.u32(0..4) {
+            // Again before anybody has noticed.
+            0 => faults.push(Fault::Ends {
+                node,
+                at,
+                back: ms(rng.u64(20..200)),
+            }),
+            // Again and again, soon after each has come up.
+            1 => {
+                for _ in 0..rng.usize(3..12) {
+                    let back = ms(rng.u64(20..600));
+                    faults.push(Fault::Ends { node, at, back });
+                    at += back + ms(rng.u64(100..1500));
+                }
+            }
+            // Gone long enough for an election, and others in the middle of it.
+            2 => {
+                let back = ms(rng.u64(2800..4500));
+                faults.push(Fault::Ends { node, at, back });
+                for other in (0..nodes).filter(|n| *n != node) {
+                    let at = at + ms(rng.u64(2500..4200));
+                    let back = ms(rng.u64(20..500));
+                    faults.push(Fault::Ends {
+                        node: other,
+                        at,
+                        back,
+                    });
+                }
+            }
+            // All, at about the same time, twice.
+            _ => {
+                for node in 0..nodes {
+                    let at = at + ms(rng.u64(0..400));
+                    let back = back(&mut rng);
+                    faults.push(Fault::Ends { node, at, back });
+                    let at = at + back + ms(rng.u64(50..4000));
+                    let back = ms(rng.u64(20..400));
+                    faults.push(Fault::Ends { node, at, back });
+                }
+            }
+        }
+    }
+    faults.push(Fault::Copies {
+        one_in: rng.u32(4..40),
+        from: Duration::ZERO,
+        until: end,
+    });
+    if rng.u32(0..3) == 0 {
+        let from = ms(rng.u64(15_000..last));
+        let until = from + ms(rng.u64(500..4_000));
+        faults.push(Fault::LostAnswers {
+            one_in: 1,
+            from,
+            until,
+        });
+    }
+    faults
+}
+
+/// Draws a day with what the operators' on-call people met, two or three at a
+/// time on top of quick restarts: a controller stands still for seconds while its
+/// clocks run on, one is gone for a minute or more, one reaches its workers and
+/// not the state service or the reverse, one is turned away alone.
+pub fn draw_troubles(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw_quick(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6f6e_6361);
+    let ms = Duration::from_millis;
+    let last = end.as_millis() as u64 - 15_000;
+    for _ in 0..rng.usize(2..5) {
+        let node = rng.usize(0..nodes);
+        let from = ms(rng.u64(15_000..last));
+        let until = (from + ms(rng.u64(5_000..50_000))).min(end);
+        faults.push(match rng.u32(0..8) {
+            // Below, about and beyond the leases of controllers and workers.
+            0..3 => Fault::Frozen {
+                node,
+                from,
+                until: (from + ms(rng.u64(1_000..40_000))).min(end),
+            },
+            3 => Fault::Ends {
+                node,
+                at: from,
+                back: ms(rng.u64(60_000..90_000)),
+            },
+            4 | 5 => Fault::CutWorkers {
+                node: Some(node),
+                rest: None,
+                from,
+                until,
+            },
+            6 => Fault::Refused { node, from, until },
+            _ => Fault::CutState { node, from, until },
+        });
+    }
+    faults
+}
+
+/// Draws a day with the troubles of the operators' letter on meetings, two to
+/// four of them on top of what [`draw_troubles`] draws.
+pub fn draw_meetings(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
+    let mut faults = draw_troubles(seed, nodes, end);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6d65_6574);
+    let ms = Duration::from_millis;
+    let last = end.as_millis() as u64 - 25_000;
+    for _ in 0..rng.usize(2..5) {
+        let from = ms(rng.u64(15_000..last));
+        let until = (from + ms(rng.u64(8_000..45_000))).min(end - ms(20_000));
+        let (node, rest) = (rng.usize(0..nodes), rng.usize(0..3));
+        let one_in = rng.u32(2..8);
+        if rng.u32(0..11) == 0 {
+            // A leader that workers and users still reach.
+            faults.push(Fault::CutState { node, from, until });
+            faults.push(Fault::CutPeers { node, from, until });
+            continue;
+        }
+        faults.push(match rng.u32(0..10) {
+            0 => Fault::LateWrites {
+                one_in,
+                from,
+                until,
+            },
+            1 => Fault::LateReports {
+                one_in,
+                from,
+                until,
+            },
+            2 => Fault::Deaf { rest, from, until },
+            3 => Fault::Mute { rest, from, until },
+            4 => {
+                // Below, about and beyond a lease.
+                let until = from + ms(rng.u64(3_000..20_000));
+                Fault::Hang { rest, from, until }
+            }
+            5 => Fault::SlowState {
+                lag: ms(rng.u64(100..2_000)),
+                from,
+                until,
+            },
+            6 => Fault::HeldOrders {
+                one_in,
+                from,
+                until,
+            },
+            7 => Fault::CancelNow {
+                count: rng.usize(2..8),
+                at: from,
+            },
+            8 => Fault::AtEnd {
+                one_in,
+                from,
+                until,
+            },
+            _ => Fault::OddRequests { from, until },
+        });
+    }
+    draw_observers(&mut faults, seed, end);
+    faults
+}
+
+/// Adds up to two troubles that show what users and new leaders get to see: lost
+/// answers, reports kept for the next leader, machines up at once, close looks.
+fn draw_observers(faults: &mut Vec<Fault>, seed: u64, end: Duration) {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x6c6f_6f6b);
+    let ms = Duration::from_millis;
+    let last = end.as_millis() as u64 - 25_000;
+    for _ in 0..rng.usize(0..3) {
+        let from = ms(rng.u64(10_000..last));
+        let until = (from + ms(rng.u64(8_000..60_000))).min(end - ms(20_000));
+        let one_in = rng.u32(2..8);
+        faults.push(match rng.u32(0..4) {
+            0 => Fault::LostAnswers {
+                one_in,
+                from,
+                until,
+            },
+            1 => Fault::ReportsForNextLeader {
+                one_in,
+                from,
+                until,
+            },
+            2 => Fault::QuickBoots { from, until },
+            _ => Fault::CloseLooks { from, until },
+        });
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod best;
 pub mod cloud;
+pub mod draws;
 pub mod evidence;
 pub mod faults;
 pub mod guest;
@@ -14,18 +15,20 @@
 pub mod model;
 pub mod net;
 pub mod rules;
+pub mod side_by_side;
 pub mod state;
 pub mod tools;
 pub mod worker;
 pub mod world;
 
-pub use evidence::Evidence;
-pub use faults::{
-    Fault, Way, draw, draw_behind, draw_meetings, draw_quick, draw_roll, draw_slow, draw_troubles,
-    over,
+pub use draws::{
+    draw, draw_behind, draw_meetings, draw_quick, draw_roll, draw_slow, draw_troubles,
 };
+pub use evidence::Evidence;
+pub use faults::{Fault, Way, over};
 pub use guest::{Guest, GuestAsk, Wish};
 pub use handover::{draw_handovers, draw_links, draw_timing};
 pub use rules::{Broken, Rules};
+pub use side_by_side::side_by_side;
 pub use state::{Done, Limits as StateLimits, State};
 pub use world::{Crowd, Load, Outcome, Size, Timing, World};
--- /dev/null
+++ b/crates/testkit/src/side_by_side.rs
@@ -0,0 +1,26 @@
+//! Many days at once, on all processors.
+
+use std::{
+    ops::Range,
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+};
+
+/// Plays days side by side, by their seeds; a panic of one is passed on.
+pub fn side_by_side(seeds: Range<u64>, play: impl Fn(u64) + Sync) {
+    let next = AtomicU64::new(seeds.start);
+    let threads = thread::available_parallelism().map_or(1, usize::from);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        break;
+                    }
+                    play(seed);
+                }
+            });
+        }
+    });
+}
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -6,7 +6,7 @@
 use oliveshift_core::Sabotage;
 use oliveshift_testkit::{
     Broken, Fault, Outcome, Size, World, draw, draw_behind, draw_quick, draw_roll, draw_slow,
-    draw_troubles,
+    draw_troubles, side_by_side,
 };
 
 const S: Duration = Duration::from_secs(1);
@@ -289,25 +289,6 @@
     }
 }
 
-/// Plays days side by side; a panic of one is passed on.
-fn side_by_side(seeds: std::ops::Range<u64>, play: impl Fn(u64) + Sync) {
-    let next = std::sync::atomic::AtomicU64::new(seeds.start);
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                    if seed >= seeds.end {
-                        break;
-                    }
-                    play(seed);
-                }
-            });
-        }
-    });
-}
-
 /// The same search with quick restarts.
 #[test]
 #[ignore = "takes minutes"]
--- a/crates/testkit/tests/exploration.rs
+++ b/crates/testkit/tests/exploration.rs
@@ -7,10 +7,10 @@
 //! comes up again, or none does; all that follows is the controllers' own. Nothing is
 //! drawn, so a history is its list of choices.
 
-use std::time::Duration;
+use std::{sync::Mutex, time::Duration};
 
 use oliveshift_core::Sabotage;
-use oliveshift_testkit::{Broken, Fault, Outcome, Size, Timing, World};
+use oliveshift_testkit::{Broken, Fault, Outcome, Size, Timing, World, side_by_side};
 use oliveshift_wire::job::{JobSpec, Priority, Shape};
 
 const S: Duration = Duration::from_secs(1);
@@ -150,42 +150,40 @@
     broken: Vec<(Vec<usize>, Broken)>,
 }
 
-/// Plays all histories of so many choices, side by side.
+/// The choices of a history, of so many ways each.
+fn choices_of(mut number: usize, ways: usize, depth: u32) -> Vec<usize> {
+    let mut choices = Vec::new();
+    for _ in 0..depth {
+        choices.push(number % ways);
+        number /= ways;
+    }
+    choices
+}
+
+impl Explored {
+    fn take(&mut self, choices: Vec<usize>, outcome: &Outcome) {
+        let mut served: Vec<_> = outcome.evidence.renewed.iter().map(|r| r.1).collect();
+        served.sort_unstable();
+        served.dedup();
+        let watched = outcome.starts.iter().filter(|s| s.1.job == job().id);
+        self.histories += 1;
+        self.changed_hands += usize::from(served.len() > 2);
+        self.started_again += usize::from(watched.count() > 1);
+        self.leases_lost += usize::from(outcome.lost > 0);
+        let broken = outcome.broken.first().map(|b| (choices, b.1));
+        self.broken.extend(broken);
+    }
+}
+
+/// Plays all histories of so many choices.
 fn explore(depth: u32, sabotage: Option<Sabotage>) -> Explored {
     let ways = links().len() + 1;
-    let count = ways.pow(depth);
-    let next = std::sync::atomic::AtomicUsize::new(0);
-    let explored = std::sync::Mutex::new(Explored::default());
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    let work = || {
-        loop {
-            let mut number = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            if number >= count {
-                break;
-            }
-            let mut choices = Vec::new();
-            for _ in 0..depth {
-                choices.push(number % ways);
-                number /= ways;
-            }
-            let outcome = play(&choices, sabotage);
-            let mut found = explored.lock().expect("no panic before");
-            found.histories += 1;
-            let mut served: Vec<_> = outcome.evidence.renewed.iter().map(|r| r.1).collect();
-            served.sort_unstable();
-            served.dedup();
-            found.changed_hands += usize::from(served.len() > 2);
-            let watched = outcome.starts.iter().filter(|s| s.1.job == job().id);
-            found.started_again += usize::from(watched.count() > 1);
-            found.leases_lost += usize::from(outcome.lost > 0);
-            let broken = outcome.broken.first().map(|b| (choices, b.1));
-            found.broken.extend(broken);
-        }
-    };
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(work);
-        }
+    let explored = Mutex::new(Explored::default());
+    side_by_side(0..ways.pow(depth) as u64, |number| {
+        let choices = choices_of(number as usize, ways, depth);
+        let outcome = play(&choices, sabotage);
+        let mut explored = explored.lock().expect("no panic before");
+        explored.take(choices, &outcome);
     });
     explored.into_inner().expect("no panic")
 }
--- a/crates/testkit/tests/handover.rs
+++ b/crates/testkit/tests/handover.rs
@@ -6,7 +6,7 @@
 use oliveshift_core::Sabotage;
 use oliveshift_testkit::{
     Broken, Fault, Outcome, Size, Timing, World, draw_handovers, draw_links, draw_timing,
-    draw_troubles,
+    draw_troubles, side_by_side,
 };
 
 const NODES: usize = 3;
@@ -98,25 +98,6 @@
     }
 }
 
-/// Plays days side by side; a panic of one is passed on.
-fn side_by_side(seeds: std::ops::Range<u64>, play: impl Fn(u64) + Sync) {
-    let next = std::sync::atomic::AtomicU64::new(seeds.start);
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                    if seed >= seeds.end {
-                        break;
-                    }
-                    play(seed);
-                }
-            });
-        }
-    });
-}
-
 /// The same search on more days, and with hundreds of machines.
 #[test]
 #[ignore = "takes minutes"]
--- a/crates/testkit/tests/meetings/main.rs
+++ b/crates/testkit/tests/meetings/main.rs
@@ -51,23 +51,9 @@
     assert!(in_time, "{what}, seed {seed}: {slowest:?}");
 }
 
-/// Plays numbered days side by side; a panic of one is passed on.
+/// Plays numbered days side by side.
 fn side_by_side(count: usize, play: impl Fn(usize) + Sync) {
-    let next = AtomicUsize::new(0);
-    let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| {
-                loop {
-                    let day = next.fetch_add(1, Ordering::Relaxed);
-                    if day >= count {
-                        break;
-                    }
-                    play(day);
-                }
-            });
-        }
-    });
+    oliveshift_testkit::side_by_side(0..count as u64, |day| play(day as usize));
 }
 
 /// Plays rows with several seeds. On half of its days at least a meeting has to come
