--- a/crates/xtask/src/widen.rs
+++ b/crates/xtask/src/widen.rs
@@ -1,6 +1,6 @@
-//! A site of the operators' kit with more machines, and with controllers that
-//! are back sooner: what their own days may have beyond the files that they
-//! have handed over.
+//! A site of the operators' kit with more machines, with controllers that are back
+//! sooner, or with other leases: what their own days may have beyond the files that
+//! they have handed over.
 //!
 //! The work grows with the machines: who submits, what is open at the start,
 //! what teams may use, and how many machines a trouble takes. What is written
@@ -12,6 +12,10 @@
 use thiserror::Error;
 use toml::{Table, Value};
 
+/// A cancellation has to last at least so many seconds longer than a lease, so that
+/// controllers start.
+const LEAST_BEYOND_LEASE_S: f64 = 4.0;
+
 /// How a site is widened.
 #[derive(Debug, Args)]
 pub struct Options {
@@ -29,6 +33,12 @@
     /// After so many seconds an ended controller is back; left out: as before.
     #[arg(long, value_name = "SECONDS", allow_negative_numbers = true)]
     restart: Option<f64>,
+    /// The lease of a worker; left out: as before.
+    #[arg(long, value_name = "SECONDS", allow_negative_numbers = true)]
+    lease: Option<f64>,
+    /// The time until the tasks of a cancelled job are gone; left out: as before.
+    #[arg(long, value_name = "SECONDS", allow_negative_numbers = true)]
+    cancel: Option<f64>,
     /// The folder, outside the repository, that gets the site.
     #[arg(long, value_name = "DIR")]
     out: PathBuf,
@@ -43,6 +53,8 @@
     File(String, std::io::Error),
     #[error("{0} is no site file: {1}")]
     Site(String, String),
+    #[error("--cancel ({cancel_s}) has to be at least {least} above --lease ({lease_s})", least = LEAST_BEYOND_LEASE_S)]
+    Leases { lease_s: f64, cancel_s: f64 },
     #[error("{0} lies in the repository: the operators' files stay outside")]
     Inside(String),
 }
@@ -77,15 +89,65 @@
     }
 }
 
+/// What is changed of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct Changes {
+    /// How many times as many machines.
+    pub factor: f64,
+    /// After how many seconds an ended controller is back; none: as before.
+    pub restart_s: Option<f64>,
+    /// A worker's lease in seconds; none: as before.
+    pub lease_s: Option<f64>,
+    /// Seconds until the tasks of a cancelled job are gone; none: as before.
+    pub cancel_s: Option<f64>,
+}
+
+impl From<&Options> for Changes {
+    fn from(options: &Options) -> Self {
+        Self {
+            factor: options.machines,
+            restart_s: options.restart,
+            lease_s: options.lease,
+            cancel_s: options.cancel,
+        }
+    }
+}
+
+/// Sets the numbers of a site's workers that are given; they have to be there.
+fn set_workers(site: &mut Table, changes: &Changes) -> Result<(), &'static str> {
+    for (key, seconds) in [("lease_s", changes.lease_s), ("cancel_s", changes.cancel_s)] {
+        let Some(seconds) = seconds else { continue };
+        let workers = site.get_mut("workers").and_then(Value::as_table_mut);
+        let number = workers.and_then(|w| w.get_mut(key));
+        *number.ok_or("it has no [workers] with lease_s and cancel_s")? = Value::Float(seconds);
+    }
+    Ok(())
+}
+
+/// Whether a controller would start with the site's leases.
+fn check_workers(site: &Table) -> Result<(), Failure> {
+    let workers = site.get("workers").and_then(Value::as_table);
+    let number = |key| workers?.get(key).and_then(Value::as_float);
+    let (Some(lease_s), Some(cancel_s)) = (number("lease_s"), number("cancel_s")) else {
+        return Ok(());
+    };
+    if cancel_s < lease_s + LEAST_BEYOND_LEASE_S {
+        return Err(Failure::Leases { lease_s, cancel_s });
+    }
+    Ok(())
+}
+
 /// Widens a site; its text and its name. `name` is what errors call it.
-pub fn widen(
-    name: &str,
-    text: &str,
-    factor: f64,
-    restart: Option<f64>,
-) -> Result<(String, String), Failure> {
+pub fn widen(name: &str, text: &str, changes: &Changes) -> Result<(String, String), Failure> {
     let bad = |why: &str| Failure::Site(name.to_owned(), why.to_owned());
-    for (what, number) in [("machines", Some(factor)), ("restart", restart)] {
+    let (factor, restart) = (changes.factor, changes.restart_s);
+    let numbers = [
+        ("machines", Some(factor)),
+        ("restart", restart),
+        ("lease", changes.lease_s),
+        ("cancel", changes.cancel_s),
+    ];
+    for (what, number) in numbers {
         if let Some(number) = number.filter(|n| !(n.is_finite() && *n > 0.0)) {
             return Err(Failure::Number(what, number));
         }
@@ -101,6 +163,8 @@
     if let Some(restart) = restart {
         nodes.insert("restart_delay_s".into(), Value::Float(restart));
     }
+    set_workers(&mut site, changes).map_err(bad)?;
+    check_workers(&site)?;
     let mut offers = 0;
     for offer in each(&mut site, "capacity") {
         grow(offer, "count", factor);
@@ -136,7 +200,7 @@
     };
     let name = options.site.display().to_string();
     let text = std::fs::read_to_string(&site).map_err(file(&options.site))?;
-    let (new, wide) = widen(&name, &text, options.machines, options.restart)?;
+    let (new, wide) = widen(&name, &text, &Changes::from(options))?;
     let out = root.join(&options.out);
     std::fs::create_dir_all(&out).map_err(file(&options.out))?;
     let within = |path: &Path| path.canonicalize().map_err(file(path));
@@ -158,79 +222,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SITE: &str = r#"
-        name = "x"
-        wire = "wire.json"
-        [nodes]
-        count = 3
-        restart_delay_s = 5.0
-        [[capacity]]
-        type = "small"
-        count = 5
-        spot = 4
-        [[machines]]
-        type = "small"
-        count = 3
-        [[teams]]
-        name = "t"
-        cpus = 10.0
-        cpus_max = 0.0
-        [[jobs]]
-        name = "a"
-        initial = 2
-        arrivals = { rate = 0.5, swing = 0.3 }
-        tasks = { median = 12.0 }
-        [[day]]
-        name = "d"
-        jobs = [{ name = "b", arrivals = { rate = 2.0, start_s = 3.0 } }]
-        faults = [{ kind = "machine_die", count = 8 }, { kind = "node_crash", count = 3 }]
-    "#;
-
-    #[test]
-    fn work_and_troubles_grow_with_the_machines() {
-        let (name, text) = widen("x.toml", SITE, 1.5, Some(0.2)).expect("a site");
-        assert_eq!(name, "x-wide");
-        let site: Value = toml::from_str(&text).expect("it can be read");
-        let number = |value: &Value| match value {
-            Value::Integer(n) => *n as f64,
-            value => value.as_float().unwrap_or(f64::NAN),
-        };
-        assert_eq!(number(&site["nodes"]["restart_delay_s"]), 0.2);
-        assert_eq!(number(&site["nodes"]["count"]), 3.0);
-        let offer = &site["capacity"][0];
-        assert_eq!(
-            (number(&offer["count"]), number(&offer["spot"])),
-            (8.0, 6.0)
-        );
-        assert_eq!(number(&site["machines"][0]["count"]), 5.0);
-        assert_eq!(number(&site["teams"][0]["cpus"]), 15.0);
-        assert_eq!(number(&site["teams"][0]["cpus_max"]), 0.0);
-        let job = &site["jobs"][0];
-        assert_eq!(number(&job["initial"]), 3.0);
-        assert_eq!(number(&job["arrivals"]["rate"]), 0.75);
-        assert_eq!(number(&job["tasks"]["median"]), 12.0);
-        let day = &site["day"][0];
-        assert_eq!(number(&day["jobs"][0]["arrivals"]["rate"]), 3.0);
-        assert_eq!(number(&day["jobs"][0]["arrivals"]["start_s"]), 3.0);
-        assert_eq!(number(&day["faults"][0]["count"]), 12.0);
-        assert_eq!(number(&day["faults"][1]["count"]), 3.0);
-    }
-
-    #[test]
-    fn bad_input_is_named() {
-        for factor in [0.0, -1.0, f64::NAN] {
-            let error = widen("x.toml", SITE, factor, None).expect_err("no factor");
-            assert!(error.to_string().contains("--machines"), "{error}");
-        }
-        let error = widen("x.toml", SITE, 1.5, Some(0.0)).expect_err("no time");
-        assert!(error.to_string().contains("--restart"), "{error}");
-        for text in ["name = 3", "name = \"x\"", "{", "name = \"x\"\n[nodes]\n"] {
-            let error = widen("x.toml", text, 1.5, None).expect_err("no site");
-            let line = error.to_string();
-            assert!(line.contains("x.toml") && !line.contains('\n'), "{line}");
-        }
-    }
-}
+mod tests;
