--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -51,10 +51,10 @@
 
 impl Timing {
     /// Draws leases from 6 s to 20 s, and the rest so that a controller may act without
-    /// new contact for 2.5 s to one and a half leases.
+    /// new contact for 2.5 s to two leases: on half of all seeds a lease can end before.
     pub fn draw(rng: &mut fastrand::Rng) -> Self {
         let lease_s = 6.0 + rng.f64() * 14.0;
-        let contact_s = 2.5 + rng.f64() * (lease_s * 1.5 - 2.5);
+        let contact_s = 2.5 + rng.f64() * (lease_s * 2.0 - 2.5);
         Self {
             lease_s,
             cancel_s: lease_s * 1.002 + 1.5 + contact_s,
