--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -5,13 +5,13 @@
     cell::RefCell,
     collections::BTreeMap,
     io::{Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     rc::Rc,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
         mpsc,
     },
     thread::JoinHandle,
@@ -409,8 +409,19 @@
     }
 }
 
+/// An address of the loopback range for one instance alone. On a shared one the free
+/// port that was found for it could go to a stand-in of another test before the program
+/// had bound it, which then answered in its place.
+fn own_address() -> Ipv4Addr {
+    static TAKEN: AtomicU8 = AtomicU8::new(0);
+    let number = TAKEN.fetch_add(1, Ordering::Relaxed);
+    assert!(number < 64, "too many instances");
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + number, middle, low)
+}
+
 fn instance(outside: &Outside, name: &str) -> Instance {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind((own_address(), 0)).expect("a free port");
     let addr = listener.local_addr().expect("its address");
     drop(listener);
     let config = outside.objects.join(format!("{name}.toml"));
@@ -538,12 +549,10 @@
 fn a_run_survives_its_instance() {
     let outside = outside("survives", None);
     let first = instance(&outside, "first");
-    let (status, run) = submit(first.addr, "waveform-to-catalog", None);
-    let run = run["run_id"].as_str().expect("a run").to_owned();
-    assert_eq!(
-        (status, state_of(first.addr, &run).as_str()),
-        (200, "RUNNING")
-    );
+    let (status, answer) = submit(first.addr, "waveform-to-catalog", None);
+    assert_eq!(status, 200, "{answer}");
+    let run = answer["run_id"].as_str().expect("a run").to_owned();
+    assert_eq!(state_of(first.addr, &run), "RUNNING");
     // Until some of it has been submitted.
     for _ in 0..200 {
         if !outside.accepted.lock().expect("not poisoned").is_empty() {
