--- a/crates/core/src/handout.rs
+++ b/crates/core/src/handout.rs
@@ -13,12 +13,11 @@
 use oliveshift_policy::{
     Candidate, Task, Weights,
     fleet::{Want, how_many},
-    queue::may_preempt,
     ranking::Ranking,
     score::{fits, plus},
 };
 use oliveshift_wire::{
-    JobId, TaskId,
+    JobId,
     cloud::MachineType,
     job::{Amounts, JobSpec, Priority, Shape},
     state::{Cond, Txn},
@@ -47,16 +46,15 @@
 const HANDOUT_GAP: Duration = Duration::from_millis(500);
 /// How long a task that was asked to make room is expected to do so.
 const ASKED: Duration = Duration::from_secs(8);
-/// How often a plan may look through all machines for work to stop.
-const MOST_SEARCHES: u32 = 12;
 
 /// A plan in the making.
-struct Plan {
-    rooms: Rooms,
+pub(crate) struct Plan {
+    pub rooms: Rooms,
     /// All machines that can be used.
     fleet: Amounts,
-    used: BTreeMap<String, Amounts>,
-    borrowed: HashSet<JobId>,
+    /// What each team uses, all that counts against its limit.
+    pub used: BTreeMap<String, Amounts>,
+    pub borrowed: HashSet<JobId>,
     wants: Vec<Want>,
     /// Machine types kept for tasks that fit nowhere else and have waited.
     scarce: Rc<BTreeSet<String>>,
@@ -66,7 +64,7 @@
     /// whoever needs the same need not look again.
     full: HashSet<Need>,
     /// How often machines were looked through for work to stop.
-    searches: u32,
+    pub searches: u32,
 }
 
 /// What decides on which machines a task fits.
@@ -172,90 +170,6 @@
         }
     }
 
-    /// Counts what teams use, and takes room for tasks that are handed but on
-    /// no machine yet.
-    fn count_used(&mut self, plan: &mut Plan) {
-        let over = self.peers.values().flat_map(|p| &p.over);
-        let over: HashSet<&TaskId> = over.chain(&self.over).collect();
-        let mut unbound: Vec<(TaskId, BlockId, Rc<JobSpec>)> = Vec::new();
-        for id in &self.view.active {
-            let Some(job) = self.view.jobs.get(id) else {
-                continue;
-            };
-            let Some(spec) = &job.spec else { continue };
-            let mut count = 0;
-            if !job.handed.is_empty() {
-                for (part, chunk) in &job.chunks {
-                    let (first, _) = job.chunk_span(*part);
-                    for (i, place) in chunk.places.iter().enumerate() {
-                        if let Place::Handed { block, .. } = place {
-                            count += 1;
-                            let task = id.task(first + i as u32);
-                            if !plan.rooms.has(&task) && !over.contains(&task) {
-                                unbound.push((task, *block, spec.clone()));
-                            }
-                        }
-                    }
-                }
-            }
-            for (index, block) in self.in_doubt(id, job) {
-                count += 1;
-                unbound.push((id.task(index), block, spec.clone()));
-            }
-            let used = plan.used.entry(spec.team.clone()).or_default();
-            let need = spec.amounts();
-            for _ in 0..count {
-                *used = plus(used, &need);
-            }
-        }
-        let Some(leader) = &mut self.leader else {
-            return;
-        };
-        let mut by_block: HashMap<BlockId, Vec<usize>> = HashMap::new();
-        if !unbound.is_empty() {
-            for (at, room) in plan.rooms.list.iter().enumerate() {
-                by_block.entry(room.block).or_default().push(at);
-            }
-        }
-        let mut planned = BTreeMap::new();
-        for (task, block, spec) in unbound {
-            let name = leader.planned.remove(&task);
-            let at = name.as_ref().and_then(|name| plan.rooms.find(name));
-            let at = at.filter(|at| plan.rooms.list[*at].block == block);
-            let need = spec.amounts();
-            let at = at.or_else(|| {
-                let all = by_block.get(&block)?;
-                let fitting = |at: &&usize| fits(&need, &plan.rooms.list[**at].candidate.free);
-                all.iter().find(fitting).or_else(|| all.first()).copied()
-            });
-            if let Some(at) = at {
-                plan.rooms.list[at].take(&spec);
-            }
-            if let Some(name) = name {
-                planned.insert(task, name);
-            }
-        }
-        leader.planned = planned;
-    }
-
-    /// Tasks whose hand-out may have taken effect without the view showing it.
-    fn in_doubt(&self, id: &JobId, job: &Job) -> Vec<(u32, u32)> {
-        if self.busy.is_empty() {
-            return Vec::new();
-        }
-        #[cfg(feature = "sabotage")]
-        if self.sabotage == Some(crate::Sabotage::NoDoubt) {
-            return Vec::new();
-        }
-        let mut tasks = Vec::new();
-        let parts = (id.clone(), 0)..=(id.clone(), u32::MAX);
-        for (_, busy) in self.busy.range(parts) {
-            let new = |(index, _): &&(u32, u32)| job.place(*index) == Place::Waiting;
-            tasks.extend(busy.handed.iter().filter(new).copied());
-        }
-        tasks
-    }
-
     /// The jobs with waiting tasks, in the order of serving.
     fn queue(&mut self, plan: &mut Plan) -> Vec<Queued> {
         let now = self.now;
@@ -665,120 +579,6 @@
             }
         }
     }
-
-    /// Asks tasks to make room for those of a job that have none: tasks of lower
-    /// priority, or borrowed ones while the job is guaranteed its share. `zones`
-    /// tells how many of the job's may go where.
-    fn make_room(
-        &mut self,
-        plan: &mut Plan,
-        queued: &Queued,
-        spec: &Rc<JobSpec>,
-        tasks: u32,
-        mut zones: BTreeMap<String, u32>,
-    ) {
-        let production = queued.priority == Priority::Production;
-        if !production && !queued.guaranteed || plan.searches >= MOST_SEARCHES {
-            return;
-        }
-        plan.searches += 1;
-        // People wait for all replicas of a service. Of other work only as much
-        // is stopped at a time as one task needs: room gets free by itself, too.
-        let mut left = if production { tasks } else { 1 };
-        let need = spec.amounts();
-        let mut rooms = Vec::new();
-        for (at, room) in plan.rooms.list.iter().enumerate() {
-            if room.tasks.is_empty()
-                || !fits(&need, &room.candidate.total)
-                || !room.takes(spec)
-                || !zones.contains_key(&room.zone)
-            {
-                continue;
-            }
-            if let Some((free, victims)) = self.victims(plan, room, queued, &need) {
-                rooms.push((victims.len(), at, how_many(&need, &free), victims));
-            }
-        }
-        // The fewest to be stopped first; those that were asked before are none.
-        rooms.sort_by_key(|(victims, at, ..)| (*victims, *at));
-        for (_, at, fit, victims) in rooms {
-            if left == 0 {
-                break;
-            }
-            let room = &mut plan.rooms.list[at];
-            let Some(open) = zones.get_mut(&room.zone).filter(|open| **open > 0) else {
-                continue;
-            };
-            let taken = fit.min(left).min(*open);
-            left -= taken;
-            *open -= taken;
-            // Nothing else of this plan goes there.
-            room.closed = true;
-            let name = room.name.clone();
-            for task in victims {
-                log::info!("{task}: to make room on {name} for {}", queued.id);
-                if let Some(leader) = &mut self.leader {
-                    leader.asked.insert(task.clone(), self.now);
-                }
-                self.ask_for_room(&task);
-            }
-        }
-    }
-
-    /// Which tasks have yet to be asked so that a machine gets room for a task,
-    /// and what it has free then; none if it can't.
-    fn victims(
-        &self,
-        plan: &Plan,
-        room: &Room,
-        queued: &Queued,
-        need: &Amounts,
-    ) -> Option<(Amounts, Vec<TaskId>)> {
-        let mut free = room.candidate.free;
-        let mut victims = Vec::new();
-        let mut asked = 0;
-        let mut options: Vec<_> = room
-            .tasks
-            .iter()
-            .filter_map(|(task, other)| {
-                let theirs = self.view.priority(&task.job, other);
-                let may = may_preempt(
-                    queued.priority,
-                    queued.guaranteed,
-                    theirs,
-                    plan.borrowed.contains(&task.job),
-                    other.team == queued.spec.team,
-                );
-                if !may {
-                    return None;
-                }
-                let is_asked = self.leader.as_ref()?.asked.contains_key(task);
-                // People wait for production: the quickest to stop goes
-                // first. Otherwise those that lose nothing do.
-                let lost = match (queued.priority, other.saves()) {
-                    (Priority::Production, true) => other.save_time(),
-                    (Priority::Production, false) | (_, true) => Duration::ZERO,
-                    (_, false) => Duration::from_secs(1),
-                };
-                let priority = std::cmp::Reverse(theirs);
-                Some((!is_asked, priority, lost, task, other))
-            })
-            .collect();
-        options.sort_by(|a, b| (a.0, a.1, a.2, a.3).cmp(&(b.0, b.1, b.2, b.3)));
-        for (new, _, _, task, other) in options {
-            if fits(need, &free) {
-                break;
-            }
-            free = plus(&free, &other.amounts());
-            if new {
-                victims.push(task.clone());
-            } else {
-                asked += 1;
-            }
-        }
-        let possible = fits(need, &free) && (!victims.is_empty() || asked > 0);
-        possible.then_some((free, victims))
-    }
 }
 
 /// The blocks, with their terms, that tasks of a chunk are handed to.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -67,6 +67,8 @@
     pub steward: Steward,
     /// What the order of serving depends on.
     pub serving: Serving,
+    /// When what teams use was logged last.
+    pub usage_logged: Duration,
     /// When each task was last asked to make room.
     pub asked: BTreeMap<TaskId, Duration>,
     /// When tasks of each job were handed out last.
@@ -152,6 +154,7 @@
                     serving: Serving::default(),
                     asked: BTreeMap::new(),
                     handed_at: BTreeMap::new(),
+                    usage_logged: Duration::ZERO,
                     planned: BTreeMap::new(),
                     lists: None,
                     lists_at: Duration::ZERO,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 mod orders;
 mod peers;
 mod placement;
+mod preemption;
 mod reach;
 mod recorder;
 pub mod records;
@@ -46,6 +47,7 @@
 mod team_use;
 pub mod tuning;
 mod upgrade;
+mod usage;
 mod user_writes;
 mod view;
 
--- /dev/null
+++ b/crates/core/src/preemption.rs
@@ -0,0 +1,134 @@
+//! Which tasks are asked to stop so that others get room.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use oliveshift_policy::{
+    fleet::how_many,
+    queue::may_preempt,
+    score::{fits, plus},
+};
+use oliveshift_wire::{
+    TaskId,
+    job::{Amounts, JobSpec, Priority},
+};
+
+use crate::{controller::Controller, handout::Plan, rooms::Room, serving::Queued};
+
+/// How often a plan may look through all machines for work to stop.
+const MOST_SEARCHES: u32 = 12;
+
+impl Controller {
+    /// Asks tasks to make room for those of a job that have none: tasks of lower
+    /// priority, or borrowed ones while the job is guaranteed its share. `zones`
+    /// tells how many of the job's may go where.
+    pub(crate) fn make_room(
+        &mut self,
+        plan: &mut Plan,
+        queued: &Queued,
+        spec: &Rc<JobSpec>,
+        tasks: u32,
+        mut zones: BTreeMap<String, u32>,
+    ) {
+        let production = queued.priority == Priority::Production;
+        if !production && !queued.guaranteed || plan.searches >= MOST_SEARCHES {
+            return;
+        }
+        plan.searches += 1;
+        // People wait for all replicas of a service. Of other work only as much
+        // is stopped at a time as one task needs: room gets free by itself, too.
+        let mut left = if production { tasks } else { 1 };
+        let need = spec.amounts();
+        let mut rooms = Vec::new();
+        for (at, room) in plan.rooms.list.iter().enumerate() {
+            if room.tasks.is_empty()
+                || !fits(&need, &room.candidate.total)
+                || !room.takes(spec)
+                || !zones.contains_key(&room.zone)
+            {
+                continue;
+            }
+            if let Some((free, victims)) = self.victims(plan, room, queued, &need) {
+                rooms.push((victims.len(), at, how_many(&need, &free), victims));
+            }
+        }
+        // The fewest to be stopped first; those that were asked before are none.
+        rooms.sort_by_key(|(victims, at, ..)| (*victims, *at));
+        for (_, at, fit, victims) in rooms {
+            if left == 0 {
+                break;
+            }
+            let room = &mut plan.rooms.list[at];
+            let Some(open) = zones.get_mut(&room.zone).filter(|open| **open > 0) else {
+                continue;
+            };
+            let taken = fit.min(left).min(*open);
+            left -= taken;
+            *open -= taken;
+            // Nothing else of this plan goes there.
+            room.closed = true;
+            let name = room.name.clone();
+            for task in victims {
+                log::info!("{task}: to make room on {name} for {}", queued.id);
+                if let Some(leader) = &mut self.leader {
+                    leader.asked.insert(task.clone(), self.now);
+                }
+                self.ask_for_room(&task);
+            }
+        }
+    }
+
+    /// Which tasks have yet to be asked so that a machine gets room for a task,
+    /// and what it has free then; none if it can't.
+    fn victims(
+        &self,
+        plan: &Plan,
+        room: &Room,
+        queued: &Queued,
+        need: &Amounts,
+    ) -> Option<(Amounts, Vec<TaskId>)> {
+        let mut free = room.candidate.free;
+        let mut victims = Vec::new();
+        let mut asked = 0;
+        let mut options: Vec<_> = room
+            .tasks
+            .iter()
+            .filter_map(|(task, other)| {
+                let theirs = self.view.priority(&task.job, other);
+                let may = may_preempt(
+                    queued.priority,
+                    queued.guaranteed,
+                    theirs,
+                    plan.borrowed.contains(&task.job),
+                    other.team == queued.spec.team,
+                );
+                if !may {
+                    return None;
+                }
+                let is_asked = self.leader.as_ref()?.asked.contains_key(task);
+                // People wait for production: the quickest to stop goes
+                // first. Otherwise those that lose nothing do.
+                let lost = match (queued.priority, other.saves()) {
+                    (Priority::Production, true) => other.save_time(),
+                    (Priority::Production, false) | (_, true) => Duration::ZERO,
+                    (_, false) => Duration::from_secs(1),
+                };
+                let priority = std::cmp::Reverse(theirs);
+                Some((!is_asked, priority, lost, task, other))
+            })
+            .collect();
+        options.sort_by(|a, b| (a.0, a.1, a.2, a.3).cmp(&(b.0, b.1, b.2, b.3)));
+        for (new, _, _, task, other) in options {
+            if fits(need, &free) {
+                break;
+            }
+            free = plus(&free, &other.amounts());
+            if new {
+                victims.push(task.clone());
+            } else {
+                asked += 1;
+            }
+        }
+        let possible = fits(need, &free) && (!victims.is_empty() || asked > 0);
+        possible.then_some((free, victims))
+    }
+}
--- /dev/null
+++ b/crates/core/src/usage.rs
@@ -0,0 +1,177 @@
+//! What teams use, as the leader counts it for a plan.
+//!
+//! Everything handed and not recorded as done or given back counts, and so does every
+//! hand-out whose write may still take effect: that is what makes the limit hold
+//! whatever fails.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    fmt,
+    rc::Rc,
+    time::Duration,
+};
+
+use oliveshift_policy::score::{fits, plus};
+use oliveshift_wire::{JobId, TaskId, job::JobSpec};
+
+use crate::{
+    controller::Controller,
+    handout::Plan,
+    records::{BlockId, Place},
+    rooms::Rooms,
+    view::Job,
+};
+
+/// The least time between two log lines about what teams use.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
+/// What of a team's tasks counts against its limit, in processors.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct TeamUsage {
+    /// Placed on machines.
+    placed: f64,
+    /// Handed to blocks and not yet placed.
+    handed: f64,
+    /// Ended, by the word of a holder, and not yet recorded.
+    ended: f64,
+    /// Handed out by writes that may still take effect.
+    in_doubt: f64,
+}
+
+impl fmt::Display for TeamUsage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:.1} processors placed, {:.1} handed, {:.1} ended and not recorded, {:.1} in doubt",
+            self.placed, self.handed, self.ended, self.in_doubt
+        )
+    }
+}
+
+/// A task that counts and is on no machine.
+struct Unplaced {
+    task: TaskId,
+    block: BlockId,
+    spec: Rc<JobSpec>,
+}
+
+impl Controller {
+    /// Counts what teams use, and takes room for tasks that are handed but on no
+    /// machine yet.
+    pub(crate) fn count_used(&mut self, plan: &mut Plan) {
+        let unplaced = self.count_tasks(plan);
+        self.take_room(&mut plan.rooms, unplaced);
+    }
+
+    /// Counts what teams use. Returns the tasks that count and are on no machine.
+    fn count_tasks(&mut self, plan: &mut Plan) -> Vec<Unplaced> {
+        let over = self.peers.values().flat_map(|p| &p.over);
+        let over: HashSet<&TaskId> = over.chain(&self.over).collect();
+        let mut unplaced = Vec::new();
+        let mut usage: BTreeMap<&str, TeamUsage> = BTreeMap::new();
+        for id in &self.view.active {
+            let Some(job) = self.view.jobs.get(id) else {
+                continue;
+            };
+            let Some(spec) = &job.spec else { continue };
+            let team = usage.entry(&spec.team).or_default();
+            let mut count = 0;
+            for (task, block) in handed_tasks(id, job) {
+                count += 1;
+                if plan.rooms.has(&task) {
+                    team.placed += spec.cpus;
+                } else if over.contains(&task) {
+                    team.ended += spec.cpus;
+                } else {
+                    team.handed += spec.cpus;
+                    let spec = spec.clone();
+                    unplaced.push(Unplaced { task, block, spec });
+                }
+            }
+            for (index, block) in self.in_doubt(id, job) {
+                count += 1;
+                team.in_doubt += spec.cpus;
+                let (task, spec) = (id.task(index), spec.clone());
+                unplaced.push(Unplaced { task, block, spec });
+            }
+            let used = plan.used.entry(spec.team.clone()).or_default();
+            let need = spec.amounts();
+            for _ in 0..count {
+                *used = plus(used, &need);
+            }
+        }
+        if let Some(leader) = &mut self.leader
+            && self.now >= leader.usage_logged + LOG_PERIOD
+        {
+            leader.usage_logged = self.now;
+            for (team, usage) in usage {
+                log::debug!("{team}: {usage}");
+            }
+        }
+        unplaced
+    }
+
+    /// Takes the room of tasks that are on no machine yet: where they were planned, or
+    /// else anywhere in their block.
+    fn take_room(&mut self, rooms: &mut Rooms, unplaced: Vec<Unplaced>) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let mut by_block: HashMap<BlockId, Vec<usize>> = HashMap::new();
+        if !unplaced.is_empty() {
+            for (at, room) in rooms.list.iter().enumerate() {
+                by_block.entry(room.block).or_default().push(at);
+            }
+        }
+        let mut planned = BTreeMap::new();
+        for Unplaced { task, block, spec } in unplaced {
+            let name = leader.planned.remove(&task);
+            let at = name.as_ref().and_then(|name| rooms.find(name));
+            let at = at.filter(|at| rooms.list[*at].block == block);
+            let need = spec.amounts();
+            let at = at.or_else(|| {
+                let all = by_block.get(&block)?;
+                let fitting = |at: &&usize| fits(&need, &rooms.list[**at].candidate.free);
+                all.iter().find(fitting).or_else(|| all.first()).copied()
+            });
+            if let Some(at) = at {
+                rooms.list[at].take(&spec);
+            }
+            if let Some(name) = name {
+                planned.insert(task, name);
+            }
+        }
+        leader.planned = planned;
+    }
+
+    /// Tasks whose hand-out may have taken effect without the view showing it.
+    pub(crate) fn in_doubt(&self, id: &JobId, job: &Job) -> Vec<(u32, u32)> {
+        if self.busy.is_empty() {
+            return Vec::new();
+        }
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::NoDoubt) {
+            return Vec::new();
+        }
+        let mut tasks = Vec::new();
+        let parts = (id.clone(), 0)..=(id.clone(), u32::MAX);
+        for (_, busy) in self.busy.range(parts) {
+            let new = |(index, _): &&(u32, u32)| job.place(*index) == Place::Waiting;
+            tasks.extend(busy.handed.iter().filter(new).copied());
+        }
+        tasks
+    }
+}
+
+/// The tasks of a job that are handed to blocks, by the records.
+fn handed_tasks<'a>(id: &'a JobId, job: &'a Job) -> impl Iterator<Item = (TaskId, BlockId)> + 'a {
+    let chunks = job.chunks.iter().filter(|_| !job.handed.is_empty());
+    chunks.flat_map(move |(part, chunk)| {
+        let (first, _) = job.chunk_span(*part);
+        let places = (first..).zip(&chunk.places);
+        places.filter_map(move |(index, place)| match place {
+            Place::Handed { block, .. } => Some((id.task(index), *block)),
+            _ => None,
+        })
+    })
+}
