A machine is not idle before the ends of its tasks are recorded

Mend: a machine is busy as long as it lists an end that its holder has not recorded. Outages of 25 s, in which workers' sessions end, go on to repeat such tasks. Sabotage IdleWithNews, caught by what_is_done_is_not_started_again_after_an_outage.

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -270,10 +270,9 @@
                 self.find_lost(block);
             }
         }
+        let is_busy = self.is_busy(&name);
         if let Some(machine) = self.machines.get_mut(&name) {
-            let busy = !machine.bound.is_empty()
-                || machine.tasks.iter().any(|t| t.state != TaskState::Exited);
-            if busy {
+            if is_busy {
                 machine.idle_since = None;
             } else if machine.idle_since.is_none() {
                 machine.idle_since = Some(now);
@@ -286,6 +285,30 @@
         true
     }
 
+    /// Whether a machine has tasks, or is the only one besides us that knows of the end
+    /// of some: returned as idle before these were recorded, it took them along, and
+    /// if we ended as well they were started again.
+    fn is_busy(&self, name: &str) -> bool {
+        let Some(machine) = self.machines.get(name) else {
+            return false;
+        };
+        let keeps = |entry: &TaskReport| match entry.state {
+            TaskState::Exited => self.is_unrecorded(&entry.task),
+            _ => true,
+        };
+        !machine.bound.is_empty() || machine.tasks.iter().any(keeps)
+    }
+
+    /// Whether a task is done and the records don't show it yet.
+    fn is_unrecorded(&self, task: &TaskId) -> bool {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::IdleWithNews) {
+            return false;
+        }
+        let slot = self.slots.get(task);
+        slot.is_some_and(|slot| matches!(slot.state, State::Done))
+    }
+
     /// One task on a machine.
     pub(crate) fn take_entry(&mut self, name: &str, session: u64, entry: &TaskReport) {
         let task = &entry.task;
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -146,6 +146,8 @@
     /// A machine that its holder does not hear is returned early, though it came to
     /// others.
     SilentToHolder,
+    /// A machine counts as idle though it alone knows of ends besides its holder.
+    IdleWithNews,
     /// Direct orders without an answer count as never carried out.
     NoLateStarts,
     /// Hand-outs whose write got no answer count as not made.
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -1,7 +1,7 @@
 //! Whole controllers through days of trouble: no rule may break, and once the
 //! trouble is over, all work gets done.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use oliveshift_core::Sabotage;
 use oliveshift_testkit::{
@@ -471,6 +471,58 @@
     assert!((0..24).map(lost).sum::<usize>() > 4);
 }
 
+/// Tasks that were started again after they were done.
+fn started_after_the_end(outcome: &Outcome) -> usize {
+    let ends: BTreeMap<_, _> = outcome.ends.iter().map(|(at, task)| (task, *at)).collect();
+    let starts = outcome.starts.iter();
+    let again = starts.filter(|(at, task)| ends.get(task).is_some_and(|end| at > end));
+    again.count()
+}
+
+/// The state service is out for so long that machines become idle, not that leases end,
+/// and a controller ends just before it is back.
+fn ends_in_an_outage(seed: u64, from: u32, sabotage: Option<Sabotage>) -> usize {
+    let until = S * (from + 15);
+    let outage = Fault::Outage {
+        from: S * from,
+        until,
+    };
+    let crash = Fault::Crash {
+        node: seed as usize % 3,
+        at: until - Duration::from_millis(300),
+    };
+    let outcome = day(seed, vec![outage, crash], sabotage);
+    assert_eq!(
+        (&outcome.broken[..], &outcome.open[..]),
+        (&[][..], &[][..]),
+        "{seed}"
+    );
+    started_after_the_end(&outcome)
+}
+
+/// What happened: tasks that were done were started again. Why: their ends were known to
+/// their holder and to their machines, could not be recorded in the outage, the machines
+/// were returned as idle meanwhile, and the holder ended. What showed it: "ended on
+/// vm-000003: Done", "vm-000003: returned: it is idle", and then "nowhere in block 1: all
+/// machines of the block are proven" for one task.
+#[test]
+fn what_is_done_is_not_started_again_after_an_outage() {
+    // Each has had such a task at one of these times.
+    let seeds = [1, 7, 15, 22, 49, 58, 76, 79];
+    let days = || {
+        seeds
+            .iter()
+            .flat_map(|seed| [40, 60, 80, 100].map(|from| (*seed, from)))
+    };
+    let again: Vec<_> = days()
+        .filter(|(seed, from)| ends_in_an_outage(*seed, *from, None) > 0)
+        .collect();
+    assert_eq!(again, []);
+    let sabotage = Some(Sabotage::IdleWithNews);
+    let mut caught = days().filter(|(seed, from)| ends_in_an_outage(*seed, *from, sabotage) > 0);
+    assert!(caught.next().is_some());
+}
+
 /// The blocks of a controller that died went to one that was cut from all
 /// workers, in zones where that one had held nothing and so knew nothing.
 #[test]
