Strays wait without contact only for what they can get: reach::Advice

Now these are sent on as before; one that knows a later lease, or whose holder says that it is deaf, waits.

--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -13,7 +13,7 @@
     call::{ConnId, Method, Output, Reply, Target},
     controller::{Controller, Pending, route},
     leader::{Duty, LeaseReason},
-    reach::Looked,
+    reach::{Advice, Looked},
     records::{BlockId, Level},
     store::Urgency,
 };
@@ -35,12 +35,15 @@
         };
         let (term, holder) = (held.version, held.record.holder.clone());
         let lease = (block, term);
-        let waits = self.reach.strayed(self.now, &report, lease, &holder);
+        let advice = self.reach.strayed(self.now, &report, lease, &holder);
         log::debug!("{}: came here, though {holder} holds it", report.machine);
+        let waits = match advice {
+            Advice::SendOn => false,
+            Advice::AwaitLease => self.in_contact(),
+            Advice::AwaitRecords => true,
+        };
         #[cfg(feature = "sabotage")]
         let waits = waits && self.sabotage != Some(crate::Sabotage::NoReach);
-        // Also without contact: what we know of its holder is old then, and the worker
-        // would lose 5 s to one that does not hear it.
         if waits {
             return self.reach.wait(self.now, conn, report);
         }
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -168,6 +168,19 @@
     pub why: String,
 }
 
+/// What to do with the report of a worker that another controller holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Advice {
+    /// The worker is sent to its holder.
+    SendOn,
+    /// It waits for its block to be leased anew: others of the block have come as well,
+    /// or it has come again. Who has no contact would not see that.
+    AwaitLease,
+    /// It waits for the records, contact or not: it knows a later lease than we do, or
+    /// its holder says that it hears none of them. It would lose 5 s there.
+    AwaitRecords,
+}
+
 /// For how long so many workers may all be silent by chance. They report a
 /// quarter earlier or later than they should, at first all together.
 fn explained(period: Duration, machines: usize) -> Duration {
@@ -245,10 +258,8 @@
         leased.is_some_and(|(_, since)| now > *since + found)
     }
 
-    /// A worker came that another controller holds, which is up. Whether its
-    /// report should wait for the block to be leased anew: the holder says that
-    /// it hears nobody, others of the block have come as well, or it has come
-    /// again. So should one that knows a later lease than we do.
+    /// A worker came that another controller holds, which is up. What to do with its
+    /// report.
     ///
     /// One that does not know the term yet is on its way to its holder: it has
     /// just come up, and was sent there by whoever registered it. It is no evidence,
@@ -259,7 +270,7 @@
         report: &Report,
         (block, term): (BlockId, Term),
         holder: &str,
-    ) -> bool {
+    ) -> Advice {
         let machine = &report.machine;
         let knows = report.token == term;
         let settled = knows && self.is_settled(now, block);
@@ -286,8 +297,13 @@
         let others = self.strays.iter().filter(|(name, s)| {
             *name != machine && s.term == term && s.settled && now < s.at + TOGETHER
         });
-        let late = report.token > term;
-        late || again || (settled && others.count() > 0) || self.says_deaf(holder, block)
+        if report.token > term || self.says_deaf(holder, block) {
+            Advice::AwaitRecords
+        } else if again || (settled && others.count() > 0) {
+            Advice::AwaitLease
+        } else {
+            Advice::SendOn
+        }
     }
 
     /// Keeps a report until its block is leased anew.
--- a/crates/core/src/reach/tests.rs
+++ b/crates/core/src/reach/tests.rs
@@ -44,14 +44,10 @@
 #[test]
 fn strays_of_a_deaf_holder_move_its_block() {
     let (mut reach, now) = (leader(), ms(60_000));
-    assert!(
-        !reach.strayed(now, &report(1, 7), (1, 7), "n-1"),
-        "the first is sent back"
-    );
-    assert!(
-        reach.strayed(now + ms(50), &report(2, 7), (1, 7), "n-1"),
-        "others have come"
-    );
+    let first = reach.strayed(now, &report(1, 7), (1, 7), "n-1");
+    assert_eq!(first, Advice::SendOn);
+    let second = reach.strayed(now + ms(50), &report(2, 7), (1, 7), "n-1");
+    assert_eq!(second, Advice::AwaitLease, "others have come");
     reach.strayed(now + ms(90), &report(3, 7), (1, 7), "n-1");
     let now = now + ms(100);
     assert_eq!(reach.moves(now, "n-0", &block(26)), [], "it may hear them");
@@ -70,18 +66,21 @@
     let (mut reach, now) = (leader(), ms(60_000));
     // New machines are sent to their holder by whoever registers them.
     for machine in 0..9 {
-        assert!(!reach.strayed(now, &report(machine, 0), (1, 7), "n-1"));
+        let advice = reach.strayed(now, &report(machine, 0), (1, 7), "n-1");
+        assert_eq!(advice, Advice::SendOn);
     }
     // Not to one that hears nobody: they wait, and still prove nothing.
     reach.hear(now, word(vec![1]));
     for machine in 10..19 {
-        assert!(reach.strayed(now, &report(machine, 0), (1, 7), "n-1"));
+        let advice = reach.strayed(now, &report(machine, 0), (1, 7), "n-1");
+        assert_eq!(advice, Advice::AwaitRecords);
     }
     assert_eq!(reach.moves(now, "n-0", &block(26)), []);
     // A block has just been leased: its workers look for their holder.
     reach.leased(now, 1, 8);
     for machine in 0..9 {
-        assert!(!reach.strayed(now, &report(machine, 8), (1, 8), "n-2"));
+        let advice = reach.strayed(now, &report(machine, 8), (1, 8), "n-2");
+        assert_eq!(advice, Advice::SendOn);
     }
     let young = [Looked {
         term: 8,
@@ -294,7 +293,8 @@
 #[test]
 fn a_worker_that_knows_a_later_lease_waits_until_it_is_seen() {
     let (mut reach, now) = (leader(), ms(60_000));
-    assert!(reach.strayed(now, &report(1, 8), (1, 7), "n-1"));
+    let advice = reach.strayed(now, &report(1, 8), (1, 7), "n-1");
+    assert_eq!(advice, Advice::AwaitRecords);
 }
 
 /// The holder lost the block and told nothing of it any more; whoever saw the new lease
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -433,9 +433,8 @@
     }
 }
 
-/// The same on more days. Two of them still lose tasks: a worker comes to a controller
-/// whose watch of the records was lost a moment before (13), or its machine was given up
-/// as silent while its holder had not been found deaf (64).
+/// The same on more days. Two of them still lose a task: a holder of three workers is
+/// found deaf late, as the others are new and were never heard (64); 98 is not traced.
 #[test]
 #[ignore = "fails, see KNOWN-RED.txt"]
 fn a_cut_from_the_workers_alone_costs_no_task_on_more_days() {
