--- a/crates/testkit/tests/meetings/observers.rs
+++ b/crates/testkit/tests/meetings/observers.rs
@@ -191,6 +191,10 @@
                     rest: (node_of(seed) + 1) % 3,
                     at: S * 36,
                 },
+                Fault::Dies {
+                    rest: (node_of(seed) + 2) % 3,
+                    at: S * 52,
+                },
                 ends(0, S * 24 + MS * (900 * step_of(seed)), MS * 400),
                 ends(node_of(seed), S * 40 + MS * (900 * step_of(seed)), S * 3),
                 second,
