A stray whose holder hears nobody waits for the records for 3 s instead of 1.8 s

A worker gives a report up after 4 s (PROTOCOL, Workers), so it can wait for 3 s at no cost. Only reports that would go to such a holder wait longer; those that await a lease from a holder that may hear them wait as long as before.

--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -45,7 +45,7 @@
         #[cfg(feature = "sabotage")]
         let waits = waits && self.sabotage != Some(crate::Sabotage::NoReach);
         if waits {
-            return self.reach.wait(self.now, conn, report);
+            return self.reach.wait(self.now, conn, report, advice);
         }
         self.redirect(conn, Some(holder));
     }
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -54,7 +54,10 @@
 const ENOUGH: usize = 3;
 const MOST_TOLD: usize = 8;
 /// A report of a stray waits so long for its block to be leased.
-pub(crate) const PATIENCE: Duration = Duration::from_millis(1800);
+const LEASE_PATIENCE: Duration = Duration::from_millis(1800);
+/// It waits so long where its holder would not answer at all: a second less than its
+/// worker waits for an answer.
+const RECORDS_PATIENCE: Duration = Duration::from_millis(3000);
 /// For how long a word of a peer counts.
 const FRESH: Duration = Duration::from_secs(3);
 /// How often a peer is told that there is trouble, and the leader of news.
@@ -181,6 +184,17 @@
     AwaitRecords,
 }
 
+impl Advice {
+    /// For how long the report waits; none: it is answered at once.
+    fn patience(self) -> Option<Duration> {
+        match self {
+            Self::SendOn => None,
+            Self::AwaitLease => Some(LEASE_PATIENCE),
+            Self::AwaitRecords => Some(RECORDS_PATIENCE),
+        }
+    }
+}
+
 /// For how long so many workers may all be silent by chance. They report a
 /// quarter earlier or later than they should, at first all together.
 fn explained(period: Duration, machines: usize) -> Duration {
@@ -306,9 +320,10 @@
         }
     }
 
-    /// Keeps a report until its block is leased anew.
-    pub fn wait(&mut self, now: Duration, conn: ConnId, report: Report) {
-        self.waiting.push((conn, report, now + PATIENCE));
+    /// Keeps a report until its block is leased anew, for as long as the advice allows.
+    pub fn wait(&mut self, now: Duration, conn: ConnId, report: Report, advice: Advice) {
+        let patience = advice.patience().unwrap_or_default();
+        self.waiting.push((conn, report, now + patience));
     }
 
     /// The reports whose block has been leased anew, or that have waited for
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -433,6 +433,15 @@
     }
 }
 
+/// A worker came to a controller that had not seen the lease of its block yet, waited for
+/// it for 1.8 s, and was sent back to the holder before, which heard nobody.
+#[test]
+fn a_worker_is_not_sent_back_before_the_lease_of_its_block_is_seen() {
+    for seed in [64, 120, 133, 202, 217] {
+        assert_eq!(cut_from_workers(seed, false, None).lost, 0, "seed {seed}");
+    }
+}
+
 /// The same on more days. Two of them still lose a task: a holder of three workers is
 /// found deaf late, as the others are new and were never heard (64); 98 is not traced.
 #[test]
