The first machine of an empty block is missed as soon as any other

Cause: what is known of a block's hearing began when a look, every 250 ms, first saw a machine in it. A report before that look was forgotten, and the holder took the machine to be looking for it for 5 s.

Hearing begins when the block is taken and stays while it is empty; a report since the last look counts for the machines counted now. It is a module of its own (reach::hearing).

the_first_machine_of_an_empty_block_is_missed_at_once describes the case; the old code had no report to count there.

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -61,6 +61,9 @@
         log::info!("block {id}: taken under term {term}");
         let held = Held { term, lost: 0 };
         self.held.insert(id, held);
+        if let Some(block) = self.view.blocks.get(&id) {
+            self.reach.taken(self.now, id, &block.record.zone);
+        }
         let names = self.view.in_block.get(&id).cloned().unwrap_or_default();
         for name in names {
             self.machine_changed(&name);
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -97,10 +97,14 @@
             .restarted(|node| members.get(node).map(|m| m.record.incarnation));
         let machines = &self.view.machines;
         let held = || {
-            let mut held: BTreeMap<BlockId, (String, usize)> = BTreeMap::new();
+            let zone_of = |id| self.view.blocks.get(id).map(|b| b.record.zone.clone());
+            let blocks = self.held.keys();
+            let blocks = blocks.filter_map(|id| Some((*id, (zone_of(id)?, 0))));
+            let mut held: BTreeMap<BlockId, (String, usize)> = blocks.collect();
             for machine in self.machines.values().filter(|m| !m.lease.is_over()) {
-                let zone = || (machine.record.zone.clone(), 0);
-                held.entry(machine.block).or_insert_with(zone).1 += 1;
+                if let Some((_, machines)) = held.get_mut(&machine.block) {
+                    *machines += 1;
+                }
             }
             held
         };
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -25,6 +25,8 @@
 //! is a bound on moves in a minute, so that a link that comes and goes moves
 //! nothing back and forth.
 
+mod hearing;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
@@ -39,6 +41,7 @@
     call::ConnId,
     records::{BlockId, Term},
 };
+use hearing::{Hearing, explained};
 
 /// How often blocks are looked at.
 const LOOK: Duration = Duration::from_millis(250);
@@ -67,9 +70,6 @@
 const FAREWELLS: u8 = 5;
 /// For how long it counts that a peer did not reach a zone when it spoke last.
 const LASTING: Duration = Duration::from_secs(60);
-/// Whoever has taken a block is found by its workers within this time beyond
-/// their reports.
-const FOUND: Duration = Duration::from_secs(5);
 /// For how long a controller gets no blocks of a zone for strays alone; doubled
 /// each time.
 const SHUNNED: Duration = Duration::from_secs(20);
@@ -94,49 +94,6 @@
     at: Duration,
 }
 
-/// A block that we hold.
-#[derive(Debug)]
-struct Hearing {
-    zone: String,
-    machines: usize,
-    /// Until when its workers may still be looking for us.
-    found_by: Duration,
-    /// Those that have found us until then.
-    found: BTreeSet<String>,
-    /// When a worker of it was heard last; at first when they will have found us.
-    heard: Duration,
-    deaf: bool,
-}
-
-impl Hearing {
-    /// A block that we begin to hold.
-    fn new(now: Duration, zone: String) -> Self {
-        Self {
-            zone,
-            machines: 0,
-            found_by: now + FOUND,
-            found: BTreeSet::new(),
-            heard: now + FOUND,
-            deaf: false,
-        }
-    }
-
-    /// How many workers can be expected to report: as long as others may still be
-    /// looking for us, those that have found us.
-    fn expected(&self, now: Duration) -> usize {
-        match now < self.found_by {
-            true => self.found.len().min(self.machines),
-            false => self.machines,
-        }
-    }
-
-    /// Whether none was heard for longer than chance explains.
-    fn is_silent(&self, now: Duration, period: Duration) -> bool {
-        let quiet = now.saturating_sub(self.heard);
-        self.machines > 0 && quiet > explained(period, self.expected(now))
-    }
-}
-
 /// A zone that we are deaf in.
 #[derive(Debug, Default)]
 struct Deaf {
@@ -195,13 +152,6 @@
     }
 }
 
-/// For how long so many workers may all be silent by chance. They report a
-/// quarter earlier or later than they should, at first all together.
-fn explained(period: Duration, machines: usize) -> Duration {
-    let by_chance = period * 8 / machines.max(1) as u32;
-    by_chance.clamp(period * 17 / 20, period * 7 / 5)
-}
-
 /// The one owner of what is known about links.
 #[derive(Debug)]
 pub(crate) struct Reach {
@@ -353,23 +303,25 @@
 
     /// A worker of a block that we hold has reported.
     pub fn heard(&mut self, now: Duration, block: BlockId, machine: &str) {
-        let Some(hearing) = self.blocks.get_mut(&block) else {
-            return;
-        };
-        hearing.heard = now;
-        if now < hearing.found_by && !hearing.found.contains(machine) {
-            hearing.found.insert(machine.to_owned());
+        if let Some(hearing) = self.blocks.get_mut(&block) {
+            hearing.hear(now, machine);
         }
     }
 
+    /// We begin to hold a block.
+    pub fn taken(&mut self, now: Duration, block: BlockId, zone: &str) {
+        self.blocks
+            .insert(block, Hearing::new(now, zone.to_owned()));
+    }
+
     /// Whether we hear none of a block's workers.
     pub fn is_deaf(&self, block: BlockId) -> bool {
         let hearing = self.blocks.get(&block);
-        hearing.is_some_and(|h| h.deaf && h.machines >= ENOUGH)
+        hearing.is_some_and(|h| h.deaf && h.machines() >= ENOUGH)
     }
 
     /// Looks at all blocks that we hold again: zone and number of machines that
-    /// are expected to report. `everywhere` are all zones, `has_machines` tells of
+    /// are expected to report, which may be none. `everywhere` are all zones, `has_machines` tells of
     /// one whether there are any, whoever holds them.
     pub fn look(
         &mut self,
@@ -386,26 +338,26 @@
             // We stood still, and can't tell who was silent meanwhile.
             let gap = now - before;
             for hearing in self.blocks.values_mut() {
-                hearing.heard += gap;
-                hearing.found_by += gap;
+                hearing.stood_still(gap);
             }
         }
         let held = held();
+        let has_machines_of = |id: &BlockId| held.get(id).is_some_and(|(_, n)| *n > 0);
         for (id, hearing) in &self.blocks {
             // Lost while deaf: until machines there have answered.
-            if !held.contains_key(id) && hearing.deaf {
+            if !has_machines_of(id) && hearing.deaf {
                 Self::is_cut(&mut self.zones, &hearing.zone);
                 self.lost_deaf.insert(*id, now);
             }
         }
         self.lost_deaf
-            .retain(|id, at| now < *at + FRESH && !held.contains_key(id));
+            .retain(|id, at| now < *at + FRESH && !has_machines_of(id));
         self.blocks.retain(|id, _| held.contains_key(id));
         for (id, (zone, machines)) in held {
             let hearing = self.blocks.entry(id);
             let hearing = hearing.or_insert_with(|| Hearing::new(now, zone));
-            hearing.machines = machines;
-            let quiet = now.saturating_sub(hearing.heard);
+            hearing.count(now, before, machines);
+            let quiet = now.saturating_sub(hearing.silent_since());
             let deaf = hearing.is_silent(now, self.period);
             if deaf != std::mem::replace(&mut hearing.deaf, deaf) {
                 self.news = true;
@@ -419,8 +371,8 @@
         }
         // Whoever hears nobody can't tell about zones in which it holds nothing:
         // it got those of a dead controller, which lost their leases with it.
-        let machines = self.blocks.values().map(|h| h.expected(now)).sum();
-        let alone = match self.blocks.values().map(|h| h.heard).max() {
+        let machines = self.inhabited().map(|h| h.expected(now)).sum();
+        let alone = match self.inhabited().map(Hearing::silent_since).max() {
             Some(last) => now > last + explained(self.period, machines),
             // Whoever has lost all for it; others hold nothing yet.
             None => !self.zones.is_empty(),
@@ -433,7 +385,8 @@
         let blocks = &self.blocks;
         self.zones.retain(|zone, deaf| {
             deaf.answers.retain(|_, at| now < *at + ANSWERED);
-            let mut here = blocks.values().filter(|h| h.zone == *zone).peekable();
+            let inhabited = blocks.values().filter(|h| h.machines() > 0);
+            let mut here = inhabited.filter(|h| h.zone == *zone).peekable();
             if here.peek().is_some() {
                 return alone || here.any(|h| h.deaf);
             }
@@ -452,6 +405,11 @@
             .retain(|_, (until, _)| now < *until + forgotten);
     }
 
+    /// The blocks that we hold and that have machines.
+    fn inhabited(&self) -> impl Iterator<Item = &Hearing> {
+        self.blocks.values().filter(|h| h.machines() > 0)
+    }
+
     fn is_cut(zones: &mut BTreeMap<String, Deaf>, zone: &str) {
         if !zones.contains_key(zone) {
             zones.insert(zone.to_owned(), Deaf::default());
@@ -468,8 +426,10 @@
         mut draw: impl FnMut(usize) -> usize,
     ) -> Vec<&'a str> {
         let mut ask = Vec::new();
+        let blocks = &self.blocks;
         for (zone, deaf) in &mut self.zones {
-            let held = self.blocks.values().any(|h| h.zone == *zone);
+            let mut inhabited = blocks.values().filter(|h| h.machines() > 0);
+            let held = inhabited.any(|h| h.zone == *zone);
             if held || now < deaf.asked_at + ASK {
                 continue;
             }
@@ -713,7 +673,7 @@
     /// gone to others.
     pub fn is_beyond(&self) -> bool {
         let all = !self.zones.is_empty() && self.zones.values().all(Deaf::is_out);
-        all && self.blocks.is_empty()
+        all && self.inhabited().next().is_none()
     }
 
     /// Whether whoever leads should leave the lead to others now. `others` tells
--- a/crates/core/src/reach/tests.rs
+++ b/crates/core/src/reach/tests.rs
@@ -350,3 +350,25 @@
     other.hear(now, told);
     assert!(other.has_strayed(now, "vm-1"));
 }
+
+/// The first machine of a block that was empty was heard before it was counted, and then
+/// nothing more: it was missed 5 s later than others.
+#[test]
+fn the_first_machine_of_an_empty_block_is_missed_at_once() {
+    let mut reach = Reach::new(PERIOD);
+    let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
+    reach.taken(ms(0), 1, "a");
+    for step in 0..80 {
+        reach.look(ms(250 * step), &[], held(0), |_| false);
+    }
+    let heard = ms(79 * 250 + 100);
+    reach.heard(heard, 1, "vm-1");
+    let mut now = heard + ms(150);
+    while now <= heard + PERIOD * 7 / 5 {
+        reach.look(now, &[], held(1), |_| true);
+        assert!(!reach.blocks[&1].deaf, "{now:?}");
+        now += ms(250);
+    }
+    reach.look(now, &[], held(1), |_| true);
+    assert!(reach.blocks[&1].deaf);
+}
