Only workers that a deaf holder can miss are needed to lease its block away

One of its two workers comes to n-2 at 45.48 s and waits there; a third machine came new into the block at 43.28 s, so two strays were needed instead of one, and the new ones prove nothing (they were never sent to n-1 under its term). The lease of the worker ends at 51.93 s.

Cause: how many strays it takes was worked out from all machines of the block, also those that came after its holder had become deaf.

The leader notes how many machines the block had when its holder first said so, and half of these, three at most, are enough. It begins anew when the holder hears somebody or the term changes; the bound on moves is untouched.

Both new tests fail without it.

--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -174,6 +174,9 @@
     news: bool,
     /// How often it remains to be told that all is well.
     untold: u8,
+    /// How many workers the holder of a block has missed since it hears none of them,
+    /// by the block's term.
+    missed: BTreeMap<BlockId, (Term, usize)>,
     /// Since when each block is leased as it is, by its term.
     leased: BTreeMap<BlockId, (Term, Duration)>,
     /// Until when a controller gets no blocks of a zone, and how often that
@@ -199,6 +202,7 @@
             told_at: Duration::ZERO,
             news: false,
             untold: 0,
+            missed: BTreeMap::new(),
             leased: BTreeMap::new(),
             shunned: BTreeMap::new(),
             moved: VecDeque::new(),
@@ -601,6 +605,7 @@
     /// The leader's question: which blocks have a holder that their workers do
     /// not reach.
     pub fn moves(&mut self, now: Duration, us: &str, blocks: &[Looked]) -> Vec<Move> {
+        self.count_missed(us, blocks);
         let strays = self.all_strays(now);
         if strays.is_empty() {
             return Vec::new();
@@ -626,13 +631,11 @@
                 }
             }
             let again = times.values().filter(|n| **n > 1).count();
-            let need = ENOUGH.min(block.machines.div_ceil(2)).max(1);
-            let deaf = match block.holder == us {
-                true => self.blocks.get(&block.id).is_some_and(|h| h.deaf),
-                false => self.says_deaf(block.holder, block.id),
-            };
-            let without = again >= need.max((block.machines / 5).min(MOST_TOLD));
-            if !(deaf && lately.len().max(again) >= need || without) {
+            let need = |machines: usize| ENOUGH.min(machines.div_ceil(2)).max(1);
+            let missed = self.missed.get(&block.id).map(|(_, machines)| *machines);
+            let deaf = missed.is_some_and(|missed| lately.len().max(again) >= need(missed));
+            let all = need(block.machines).max((block.machines / 5).min(MOST_TOLD));
+            if !deaf && again < all {
                 continue;
             }
             let heard = if deaf {
@@ -654,6 +657,31 @@
         moves
     }
 
+    /// Notes how many workers each holder that hears none of them can miss: machines
+    /// that come into the block later were never heard, and prove nothing.
+    fn count_missed(&mut self, us: &str, blocks: &[Looked]) {
+        let mut missed = BTreeMap::new();
+        for block in blocks {
+            if !self.is_holder_deaf(us, block.holder, block.id) {
+                continue;
+            }
+            let before = self.missed.get(&block.id);
+            let before = before.filter(|(term, _)| *term == block.term);
+            let most = before.map_or(block.machines, |(_, machines)| *machines);
+            missed.insert(block.id, (block.term, most.min(block.machines)));
+        }
+        self.missed = missed;
+    }
+
+    /// Whether the holder of a block hears none of its workers, by what it says or, if
+    /// it is us, by what we know.
+    fn is_holder_deaf(&self, us: &str, holder: &str, block: BlockId) -> bool {
+        match holder == us {
+            true => self.blocks.get(&block).is_some_and(|h| h.deaf),
+            false => self.says_deaf(holder, block),
+        }
+    }
+
     /// A block is leased away from a holder for that.
     pub fn moved(&mut self, now: Duration, holder: &str, zone: &str, deaf: bool) {
         self.moved.push_back(now);
--- a/crates/core/src/reach/tests.rs
+++ b/crates/core/src/reach/tests.rs
@@ -372,3 +372,23 @@
     reach.look(now, &[], held(1), |_| true);
     assert!(reach.blocks[&1].deaf);
 }
+
+/// New machines came into the block of a holder that heard nobody: they had never been
+/// heard, proved nothing, and only raised how many strays were needed.
+#[test]
+fn new_machines_of_a_deaf_holder_are_not_needed_as_strays() {
+    let (mut reach, now) = (leader(), ms(60_000));
+    reach.hear(now, word(vec![1]));
+    assert_eq!(reach.moves(now, "n-0", &block(1)), []);
+    reach.strayed(now, &report(1, 7), (1, 7), "n-1");
+    let moves = reach.moves(now, "n-0", &block(5));
+    assert_eq!(
+        (moves.len(), moves.first().map(|m| m.deaf)),
+        (1, Some(true))
+    );
+    // It counts from anew once it has heard somebody.
+    reach.hear(now, word(Vec::new()));
+    assert_eq!(reach.moves(now, "n-0", &block(5)), []);
+    reach.hear(now, word(vec![1]));
+    assert_eq!(reach.moves(now, "n-0", &block(5)), []);
+}
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -442,6 +442,13 @@
     }
 }
 
+/// Two machines were new in the block of a holder that heard nobody, so the one stray that
+/// it had was not enough to lease the block away.
+#[test]
+fn new_machines_do_not_hold_up_the_move_of_their_block() {
+    assert_eq!(cut_from_workers(247, false, None).lost, 0);
+}
+
 /// The same on more days. Two of them still lose a task: a holder of three workers is
 /// found deaf late, as the others are new and were never heard (64); 98 is not traced.
 #[test]
