New machines come into blocks whose holders may hear them

Cause: a new machine was registered into the first block with room, whoever held it; and a holder that had become deaf forgot it with its last machine, so that nobody could know.

An empty block stays deaf for 60 s, or until machines of its zone answer its holder. The leader registers a machine into a block only if its holder serves the zone and hears somebody there, by its own word, or if no controller does; where all such blocks are full it makes one as before. Whoever hears none of a block's workers gets new blocks after others.

--- a/crates/core/src/lists.rs
+++ b/crates/core/src/lists.rs
@@ -20,7 +20,7 @@
 use crate::{
     controller::Controller,
     recorder::Step,
-    records::{BlockId, Key, Level, ListedMachine, MachineList},
+    records::{BlockId, BlockRecord, Key, Level, ListedMachine, MachineList},
     store::{Outcome, Purpose, Urgency},
 };
 
@@ -271,6 +271,7 @@
             let blocks = self.view.blocks.iter();
             let mut open = blocks
                 .filter(|(id, b)| b.record.zone == report.zone && count(id) < size)
+                .filter(|(id, b)| self.may_hear_new(**id, &b.record))
                 .peekable();
             if open.peek().is_none() {
                 full.insert(report.zone.clone());
@@ -288,6 +289,17 @@
         (lists, full)
     }
 
+    /// Whether the holder of a block may hear a machine that comes into it; true where
+    /// no controller may.
+    fn may_hear_new(&self, id: BlockId, block: &BlockRecord) -> bool {
+        let us = &self.settings.node;
+        let serves = |node: &String| self.reach.serves(self.now, us, node, &block.zone);
+        if serves(&block.holder) && !self.reach.is_holder_deaf(us, &block.holder, id) {
+            return true;
+        }
+        !self.view.members.keys().any(serves)
+    }
+
     /// The first of a block's lists that has room for a machine, with it; a
     /// new one if need be. None if the machine alone is too large.
     fn list_with(
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -370,7 +370,8 @@
                 }
             }
         }
-        for hearing in self.blocks.values().filter(|h| h.deaf) {
+        let inhabited = self.blocks.values().filter(|h| h.machines() > 0);
+        for hearing in inhabited.filter(|h| h.deaf) {
             Self::is_cut(&mut self.zones, &hearing.zone);
         }
         // Whoever hears nobody can't tell about zones in which it holds nothing:
@@ -386,6 +387,11 @@
                 Self::is_cut(&mut self.zones, zone);
             }
         }
+        for hearing in self.blocks.values_mut() {
+            if self.zones.get(&hearing.zone).is_some_and(|z| !z.is_out()) {
+                hearing.zone_answers();
+            }
+        }
         let blocks = &self.blocks;
         self.zones.retain(|zone, deaf| {
             deaf.answers.retain(|_, at| now < *at + ANSWERED);
@@ -477,10 +483,17 @@
             .retain(|node, (_, said, _)| alive(node).is_none_or(|now| now == *said));
     }
 
-    /// Whether a controller does not reach some zone, by its own word: it may
-    /// be cut off further than it knows yet.
+    /// Whether a controller does not reach some zone, or hears none of a block's
+    /// workers, by its own word: it may be cut off further than it knows yet.
     pub fn is_suspect(&self, us: &str, node: &str) -> bool {
-        !self.out_of(us, node).is_empty()
+        let hears_nobody = match node == us {
+            true => self.blocks.values().any(|h| h.deaf),
+            false => {
+                let word = self.words.get(node);
+                word.is_some_and(|(_, word)| !word.deaf.is_empty())
+            }
+        };
+        hears_nobody || !self.out_of(us, node).is_empty()
     }
 
     /// What is to be told, in the words of whoever we are; none if there is
@@ -675,7 +688,7 @@
 
     /// Whether the holder of a block hears none of its workers, by what it says or, if
     /// it is us, by what we know.
-    fn is_holder_deaf(&self, us: &str, holder: &str, block: BlockId) -> bool {
+    pub fn is_holder_deaf(&self, us: &str, holder: &str, block: BlockId) -> bool {
         match holder == us {
             true => self.blocks.get(&block).is_some_and(|h| h.deaf),
             false => self.says_deaf(holder, block),
--- a/crates/core/src/reach/hearing.rs
+++ b/crates/core/src/reach/hearing.rs
@@ -6,6 +6,8 @@
 /// Whoever has taken a block is found by its workers within this time beyond
 /// their reports.
 const FOUND: Duration = Duration::from_secs(5);
+/// For how long a block without machines stays deaf.
+const EMPTY_DEAF: Duration = Duration::from_secs(60);
 
 /// A block that we hold.
 #[derive(Debug)]
@@ -14,6 +16,8 @@
     /// None of its workers is heard.
     pub deaf: bool,
     machines: usize,
+    /// When it had machines last.
+    inhabited: Duration,
     /// Until when its workers may still be looking for us.
     found_by: Duration,
     /// Those that have found us until then.
@@ -29,6 +33,7 @@
             zone,
             deaf: false,
             machines: 0,
+            inhabited: now,
             found_by: now + FOUND,
             found: BTreeSet::new(),
             heard: None,
@@ -64,7 +69,10 @@
     /// empty look for us, and may have found us `since` the last count already.
     pub fn count(&mut self, now: Duration, since: Duration, machines: usize) {
         let was_empty = std::mem::replace(&mut self.machines, machines) == 0;
-        if !was_empty || machines == 0 {
+        if machines > 0 {
+            self.inhabited = now;
+        }
+        if !was_empty || machines == 0 || self.deaf {
             return;
         }
         self.found_by = now + FOUND;
@@ -83,10 +91,22 @@
         }
     }
 
-    /// Whether none was heard for longer than chance explains.
+    /// Whether none was heard for longer than chance explains. A block whose machines
+    /// are all gone goes on as it was for a while: whoever heard none of them may not
+    /// hear the next one either.
     pub fn is_silent(&self, now: Duration, period: Duration) -> bool {
+        if self.machines == 0 {
+            return self.deaf && now < self.inhabited + EMPTY_DEAF;
+        }
         let quiet = now.saturating_sub(self.silent_since());
-        self.machines > 0 && quiet > explained(period, self.expected(now))
+        quiet > explained(period, self.expected(now))
+    }
+
+    /// Machines of its zone have answered us.
+    pub fn zone_answers(&mut self) {
+        if self.machines == 0 {
+            self.deaf = false;
+        }
     }
 }
 
--- a/crates/core/src/reach/tests.rs
+++ b/crates/core/src/reach/tests.rs
@@ -392,3 +392,36 @@
     reach.hear(now, word(vec![1]));
     assert_eq!(reach.moves(now, "n-0", &block(5)), []);
 }
+
+/// A holder was deaf when its last machine went; it took the next one for one that it
+/// had only not heard yet.
+#[test]
+fn an_empty_block_stays_deaf_for_a_while() {
+    let mut reach = Reach::new(PERIOD);
+    let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
+    let mut now = ms(0);
+    while now < ms(20_000) {
+        reach.look(now, &[], held(1), |_| true);
+        now += ms(250);
+    }
+    let is_deaf = |reach: &Reach| reach.is_holder_deaf("n-0", "n-0", 1);
+    reach.look(now, &[], held(0), |_| false);
+    assert!(is_deaf(&reach) && reach.is_suspect("n-0", "n-0"));
+    now += ms(30_000);
+    reach.look(now, &[], held(1), |_| true);
+    assert!(is_deaf(&reach), "the next one is not heard either");
+    reach.heard(now, 1, "vm-2");
+    reach.look(now + ms(250), &[], held(1), |_| true);
+    assert!(!is_deaf(&reach));
+}
+
+#[test]
+fn an_empty_block_is_not_deaf_for_ever() {
+    let mut reach = Reach::new(PERIOD);
+    let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
+    for step in 0..400 {
+        let machines = usize::from(step < 80);
+        reach.look(ms(250 * step), &[], held(machines), |_| step < 80);
+    }
+    assert!(!reach.is_holder_deaf("n-0", "n-0", 1));
+}
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -449,6 +449,15 @@
     assert_eq!(cut_from_workers(247, false, None).lost, 0);
 }
 
+/// A machine came into the block of a holder that heard nobody, was sent there, and came
+/// to the next holder when its lease was all but over.
+#[test]
+fn a_new_machine_goes_to_a_holder_that_may_hear_it() {
+    for seed in [98, 153] {
+        assert_eq!(cut_from_workers(seed, false, None).lost, 0, "seed {seed}");
+    }
+}
+
 /// The same on more days. Two of them still lose a task: a holder of three workers is
 /// found deaf late, as the others are new and were never heard (64); 98 is not traced.
 #[test]
