Simulated workers answer /inspect

PROTOCOL, GET /inspect: 200 with the worker's report. The simulated worker took the question for orders that it could not read and gave no answer, so in simulated time a controller that had been cut from its workers never learnt that it reached them again, and had no blocks for up to 60 s.

--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -503,6 +503,13 @@
                 let Some(worker) = self.workers.get_mut(&name) else {
                     return;
                 };
+                if call.path == "/inspect" {
+                    let body = encode(&worker.report(now));
+                    if self.worker_cut(node, &name, Way::FromMachine).is_none() {
+                        self.answer_call(node, life, id, 200, body);
+                    }
+                    return;
+                }
                 let Ok(orders) = decode::<DirectOrders>(&call.body) else {
                     return;
                 };
