A controller serves a zone again once all its machines answer, if these are fewer than two

Cause: whoever lost a block in a zone while it heard nobody there takes blocks of that zone again after two machines have answered it. Where there is one machine that never happens, so nobody was left to take the block when its next holder was cut.

As many answers are needed as there are machines, two at most.

--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -108,9 +108,9 @@
             }
             held
         };
-        let has_machines = |zone: &str| machines.values().any(|m| m.zone == zone);
+        let machines_of = |zone: &str| machines.values().filter(|m| m.zone == zone).count();
         let everywhere = &self.settings.params.zones;
-        self.reach.look(now, everywhere, held, has_machines);
+        self.reach.look(now, everywhere, held, machines_of);
         let of_zone = |zone: &str| {
             let zone = zone.to_owned();
             let here = machines.iter().filter(move |(_, m)| m.zone == zone);
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -97,6 +97,8 @@
 /// A zone that we are deaf in.
 #[derive(Debug, Default)]
 struct Deaf {
+    /// How many machines it has, whoever holds them.
+    machines: usize,
     asked_at: Duration,
     /// Machines that have answered, and when.
     answers: BTreeMap<String, Duration>,
@@ -105,7 +107,7 @@
 impl Deaf {
     /// Whether too few machines there have answered us.
     fn is_out(&self) -> bool {
-        self.answers.len() < ANSWERS
+        self.answers.len() < ANSWERS.min(self.machines.max(1))
     }
 }
 
@@ -325,14 +327,14 @@
     }
 
     /// Looks at all blocks that we hold again: zone and number of machines that
-    /// are expected to report, which may be none. `everywhere` are all zones, `has_machines` tells of
-    /// one whether there are any, whoever holds them.
+    /// are expected to report, which may be none. `everywhere` are all zones, `machines_of`
+    /// tells how many machines one has, whoever holds them.
     pub fn look(
         &mut self,
         now: Duration,
         everywhere: &[String],
         held: impl FnOnce() -> BTreeMap<BlockId, (String, usize)>,
-        has_machines: impl Fn(&str) -> bool,
+        machines_of: impl Fn(&str) -> usize,
     ) {
         if now < self.looked_at + LOOK {
             return;
@@ -387,6 +389,9 @@
                 Self::is_cut(&mut self.zones, zone);
             }
         }
+        for (zone, deaf) in &mut self.zones {
+            deaf.machines = machines_of(zone);
+        }
         for hearing in self.blocks.values_mut() {
             if self.zones.get(&hearing.zone).is_some_and(|z| !z.is_out()) {
                 hearing.zone_answers();
@@ -400,7 +405,7 @@
             if here.peek().is_some() {
                 return alone || here.any(|h| h.deaf);
             }
-            if !has_machines(zone) {
+            if deaf.machines == 0 {
                 // Nobody is there to be reached.
                 return false;
             }
--- a/crates/core/src/reach/tests.rs
+++ b/crates/core/src/reach/tests.rs
@@ -121,7 +121,7 @@
         if now < ms(30_000) {
             reach.heard(now, 1, "vm-1");
         }
-        reach.look(now, &[], held(26), |_| true);
+        reach.look(now, &[], held(26), |_| 26);
         if reach.is_deaf(1) {
             deaf_at = deaf_at.or(Some(now));
         }
@@ -137,7 +137,7 @@
     assert!((ms(35_000)..ms(36_000)).contains(&deaf_at), "{deaf_at:?}");
     // They are back.
     reach.heard(now, 1, "vm-1");
-    reach.look(now + ms(250), &[], held(26), |_| true);
+    reach.look(now + ms(250), &[], held(26), |_| 26);
     assert!(!reach.is_deaf(1) && reach.serves(now, "n-0", "n-0", "a"));
 }
 
@@ -147,10 +147,10 @@
     let mut reach = Reach::new(PERIOD);
     let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
     for step in 0..40 {
-        reach.look(ms(250 * step), &[], held, |_| true);
+        reach.look(ms(250 * step), &[], held, |_| 26);
         reach.heard(ms(250 * step), 1, "vm-1");
     }
-    reach.look(ms(60_000), &[], held, |_| true);
+    reach.look(ms(60_000), &[], held, |_| 26);
     assert!(!reach.is_deaf(1));
 }
 
@@ -161,13 +161,13 @@
     let names = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
     let mut now = ms(0);
     while now < ms(20_000) {
-        reach.look(now, &[], held, |_| true);
+        reach.look(now, &[], held, |_| 26);
         now += ms(250);
     }
     assert!(reach.is_deaf(1) && !reach.is_beyond());
     assert_eq!(reach.questions(now, |_| names.into_iter(), |_| 0).len(), 0);
     // Its block goes to somebody else.
-    reach.look(now, &[], BTreeMap::new, |_| true);
+    reach.look(now, &[], BTreeMap::new, |_| 26);
     assert!(reach.is_beyond() && !reach.serves(now, "n-0", "n-0", "a"));
     // It leaves the lead to others, but not again and again, and to nobody.
     assert!(!reach.should_resign(now, false) && reach.should_resign(now, true));
@@ -179,11 +179,11 @@
     assert_eq!(reach.questions(now, |_| names.into_iter(), |_| 0).len(), 0);
     reach.answered(now, "a", "vm-1");
     now += ms(250);
-    reach.look(now, &[], BTreeMap::new, |_| true);
+    reach.look(now, &[], BTreeMap::new, |_| 26);
     assert!(reach.is_beyond(), "one is not enough");
     reach.answered(now, "a", "vm-2");
     now += ms(250);
-    reach.look(now, &[], BTreeMap::new, |_| true);
+    reach.look(now, &[], BTreeMap::new, |_| 26);
     assert!(!reach.is_beyond() && reach.serves(now, "n-0", "n-0", "a"));
 }
 
@@ -196,7 +196,7 @@
     let everywhere = ["a".to_owned(), "b".to_owned()];
     let mut now = ms(0);
     while now < ms(20_000) {
-        reach.look(now, &everywhere, held, |_| true);
+        reach.look(now, &everywhere, held, |_| 26);
         now += ms(250);
     }
     assert!(!reach.serves(now, "n-0", "n-0", "b"));
@@ -209,7 +209,7 @@
     reach.answered(now, "b", "vm-1");
     reach.answered(now, "b", "vm-2");
     reach.heard(now, 1, "vm-1");
-    reach.look(now + ms(250), &everywhere, held, |_| true);
+    reach.look(now + ms(250), &everywhere, held, |_| 26);
     assert!(reach.serves(now, "n-0", "n-0", "b"));
 }
 
@@ -224,7 +224,7 @@
         ..word(vec![])
     };
     let later = |reach: &mut Reach, at| {
-        reach.look(ms(at), &everywhere, BTreeMap::new, |_| true);
+        reach.look(ms(at), &everywhere, BTreeMap::new, |_| 26);
         (
             reach.serves(ms(at), "n-0", "n-1", "a"),
             reach.is_suspect("n-0", "n-1"),
@@ -249,10 +249,10 @@
     let mut reach = Reach::new(PERIOD);
     let held = || BTreeMap::from([(1, ("a".to_owned(), 2))]);
     for step in 0..80 {
-        reach.look(ms(250 * step), &[], held, |_| true);
+        reach.look(ms(250 * step), &[], held, |_| 26);
     }
     assert!(!reach.serves(ms(20_000), "n-0", "n-0", "a"));
-    reach.look(ms(20_250), &[], BTreeMap::new, |_| false);
+    reach.look(ms(20_250), &[], BTreeMap::new, |_| 0);
     assert!(!reach.is_beyond() && reach.serves(ms(20_250), "n-0", "n-0", "a"));
 }
 
@@ -305,14 +305,14 @@
     let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
     let mut now = ms(0);
     while now < ms(20_000) {
-        reach.look(now, &[], held, |_| true);
+        reach.look(now, &[], held, |_| 26);
         now += ms(250);
     }
     let told = |reach: &mut Reach, now| reach.tell(now, "n-0", 1).map(|word| word.deaf);
-    reach.look(now, &[], BTreeMap::new, |_| true);
+    reach.look(now, &[], BTreeMap::new, |_| 26);
     assert_eq!(told(&mut reach, now), Some(vec![1]));
     now += FRESH;
-    reach.look(now, &[], BTreeMap::new, |_| true);
+    reach.look(now, &[], BTreeMap::new, |_| 26);
     assert_eq!(told(&mut reach, now), Some(Vec::new()));
 }
 
@@ -325,7 +325,7 @@
     let mut deaf_at = None;
     for step in 0..80 {
         let now = ms(250 * step);
-        reach.look(now, &[], held, |_| true);
+        reach.look(now, &[], held, |_| 26);
         if step == 4 {
             reach.heard(now, 1, "vm-1");
         }
@@ -359,17 +359,17 @@
     let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
     reach.taken(ms(0), 1, "a");
     for step in 0..80 {
-        reach.look(ms(250 * step), &[], held(0), |_| false);
+        reach.look(ms(250 * step), &[], held(0), |_| 0);
     }
     let heard = ms(79 * 250 + 100);
     reach.heard(heard, 1, "vm-1");
     let mut now = heard + ms(150);
     while now <= heard + PERIOD * 7 / 5 {
-        reach.look(now, &[], held(1), |_| true);
+        reach.look(now, &[], held(1), |_| 26);
         assert!(!reach.blocks[&1].deaf, "{now:?}");
         now += ms(250);
     }
-    reach.look(now, &[], held(1), |_| true);
+    reach.look(now, &[], held(1), |_| 26);
     assert!(reach.blocks[&1].deaf);
 }
 
@@ -401,17 +401,17 @@
     let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
     let mut now = ms(0);
     while now < ms(20_000) {
-        reach.look(now, &[], held(1), |_| true);
+        reach.look(now, &[], held(1), |_| 26);
         now += ms(250);
     }
     let is_deaf = |reach: &Reach| reach.is_holder_deaf("n-0", "n-0", 1);
-    reach.look(now, &[], held(0), |_| false);
+    reach.look(now, &[], held(0), |_| 0);
     assert!(is_deaf(&reach) && reach.is_suspect("n-0", "n-0"));
     now += ms(30_000);
-    reach.look(now, &[], held(1), |_| true);
+    reach.look(now, &[], held(1), |_| 26);
     assert!(is_deaf(&reach), "the next one is not heard either");
     reach.heard(now, 1, "vm-2");
-    reach.look(now + ms(250), &[], held(1), |_| true);
+    reach.look(now + ms(250), &[], held(1), |_| 26);
     assert!(!is_deaf(&reach));
 }
 
@@ -421,7 +421,25 @@
     let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
     for step in 0..400 {
         let machines = usize::from(step < 80);
-        reach.look(ms(250 * step), &[], held(machines), |_| step < 80);
+        reach.look(ms(250 * step), &[], held(machines), |_| machines);
     }
     assert!(!reach.is_holder_deaf("n-0", "n-0", 1));
 }
+
+/// A controller had lost its only machine, and would only take blocks again once two had
+/// answered it where there was one.
+#[test]
+fn no_more_answers_are_needed_than_there_are_machines() {
+    let mut reach = Reach::new(PERIOD);
+    let held = || BTreeMap::from([(1, ("a".to_owned(), 1))]);
+    let mut now = ms(0);
+    while now < ms(20_000) {
+        reach.look(now, &[], held, |_| 1);
+        now += ms(250);
+    }
+    reach.look(now, &[], BTreeMap::new, |_| 1);
+    assert!(!reach.serves(now, "n-0", "n-0", "a"));
+    reach.answered(now, "a", "vm-1");
+    reach.look(now + ms(250), &[], BTreeMap::new, |_| 1);
+    assert!(reach.serves(now, "n-0", "n-0", "a"));
+}
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -458,6 +458,13 @@
     }
 }
 
+/// A controller that reached its workers again got no block back, as it waited for two
+/// answers where there was one machine.
+#[test]
+fn a_controller_that_reaches_the_only_machine_gets_its_block() {
+    assert_eq!(cut_from_workers(178, false, None).lost, 0);
+}
+
 /// The same on more days. Two of them still lose a task: a holder of three workers is
 /// found deaf late, as the others are new and were never heard (64); 98 is not traced.
 #[test]
