Holders place nothing on workers that report to others

Seen: a task is placed on a worker whose lease ends a moment later.

Cause: a machine counted as usable once any message had shown our term.

A machine that came to another controller since we last answered a report of it is not usable until it is back. What tells is what peers say of strays already; where nobody has said anything, nothing changes, so blocks that move as planned or after an end lose no time.

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -191,6 +191,7 @@
         };
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.lease.renew(self.now);
+            machine.answered = Some(self.now);
         }
         let answer = ReportAnswer {
             token: term,
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -32,6 +32,8 @@
     pub lease: WorkerLease,
     /// When a message came last.
     pub heard: Option<Duration>,
+    /// When we answered a report of its worker last, which renewed its lease.
+    pub answered: Option<Duration>,
     /// When the cloud takes it away.
     pub taken_at: Option<Duration>,
     /// All tasks on it by its newest message.
@@ -72,6 +74,7 @@
             proven: false,
             lease: WorkerLease::new(now),
             heard: None,
+            answered: None,
             taken_at: None,
             tasks: Vec::new(),
             bound: BTreeSet::new(),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -137,12 +137,20 @@
             && !machine.faulty()
             && !self.draining.contains(name)
             && !self.reach.is_deaf(machine.block)
+            && !self.reports_to_others(name, machine)
             && machine.silent(self.now) < self.silence_limit()
             && machine
                 .refused_at
                 .is_none_or(|at| self.now > at + Duration::from_secs(2))
     }
 
+    /// Whether a machine came to another controller since we answered a report of it: as
+    /// long as it is not back its lease runs out, however well direct orders reach it.
+    fn reports_to_others(&self, name: &str, machine: &Machine) -> bool {
+        let strayed = self.reach.strayed_at(self.now, name);
+        strayed.is_some_and(|at| machine.answered.is_none_or(|answered| at > answered))
+    }
+
     /// The silence after which a worker counts as out of reach: two reports
     /// that should have come.
     pub(crate) fn silence_limit(&self) -> Duration {
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -612,12 +612,18 @@
     /// Whether a machine came to us or to a peer lately, though another controller holds
     /// it.
     pub fn has_strayed(&self, now: Duration, machine: &str) -> bool {
-        let strayed = self
-            .strays
-            .get(machine)
-            .is_some_and(|s| now <= s.at + MEMORY);
-        let mut told = self.words.values().flat_map(|(_, word)| &word.strays);
-        strayed || told.any(|s| s.machine == machine)
+        self.strayed_at(now, machine).is_some()
+    }
+
+    /// When a machine came last, of late, to us or to a peer that does not hold it.
+    pub fn strayed_at(&self, now: Duration, machine: &str) -> Option<Duration> {
+        let ours = self.strays.get(machine).map(|s| s.at);
+        let ours = ours.filter(|at| now <= *at + MEMORY);
+        let told = self.words.values().flat_map(|(at, word)| {
+            let here = word.strays.iter().filter(|s| s.machine == machine);
+            here.map(|s| at.saturating_sub(Duration::from_millis(s.ago_ms)))
+        });
+        told.chain(ours).max()
     }
 
     /// The leader's question: which blocks have a holder that their workers do
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -5,7 +5,7 @@
 
 use oliveshift_core::Sabotage;
 use oliveshift_testkit::{
-    Broken, Fault, Outcome, Size, World, draw, draw_behind, draw_quick, draw_roll, draw_slow,
+    Broken, Fault, Outcome, Size, Way, World, draw, draw_behind, draw_quick, draw_roll, draw_slow,
     draw_troubles, side_by_side,
 };
 
@@ -465,6 +465,31 @@
     assert_eq!(cut_from_workers(178, false, None).lost, 0);
 }
 
+/// Two controllers hear their workers one after the other, and are not heard by them.
+fn answers_cut(seed: u64) -> Outcome {
+    let cut = |node: usize, from| {
+        (0..3).map(move |rest| Fault::OneWay {
+            node: node % 3,
+            rest,
+            way: Way::ToMachine,
+            from: S * from,
+            until: S * (from + 40),
+        })
+    };
+    let node = seed as usize;
+    let faults = cut(node, 40).chain(cut(node + 1, 100)).collect();
+    day(seed, faults, None)
+}
+
+/// A holder started tasks by direct orders on a worker that reported to others, whose lease
+/// ended a moment later.
+#[test]
+fn a_worker_that_reports_to_others_gets_no_new_task() {
+    for seed in [24, 78, 202] {
+        assert_eq!(answers_cut(seed).lost, 0, "seed {seed}");
+    }
+}
+
 /// The same on more days. Two of them still lose a task: a holder of three workers is
 /// found deaf late, as the others are new and were never heard (64); 98 is not traced.
 #[test]
