core::reach: standard terms and constants that say what they are

Unheard for deaf, backoff for shunned, all-clear for farewell, probes and answers for what is asked, intervals and lifetimes named as such; the lead is backed off from, not left out of modesty.

--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -22,7 +22,7 @@
 const TIMEOUT: Duration = Duration::from_millis(800);
 const INSPECT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Whoever reaches no workers leaves the lead to the others for so long.
-const MODEST: Duration = Duration::from_secs(2);
+const LEAD_BACKOFF: Duration = Duration::from_secs(2);
 
 impl Controller {
     /// A worker came whose block we don't hold.
@@ -250,7 +250,7 @@
             if self.lease_block(found.block, block.version, zone.clone(), &holder, &reason) {
                 let size = self.view.count_in(&found.block) + 1;
                 *loads.entry(holder).or_default() += size;
-                self.reach.moved(now, &from, &zone, found.deaf);
+                self.reach.moved(now, &from, &zone, found.unheard);
             }
         }
         if self.reach.should_resign(now, others) {
@@ -275,12 +275,12 @@
 
     /// Whether we leave the lead to others, of whom nobody has had the time to
     /// take it.
-    pub(crate) fn is_modest(&mut self) -> bool {
+    pub(crate) fn backs_off_from_lead(&mut self) -> bool {
         if self.view.leader.is_some() {
             self.leaderless_since = None;
             return false;
         }
         let since = *self.leaderless_since.get_or_insert(self.now);
-        self.reach.is_beyond() && self.view.members.len() > 1 && self.now < since + MODEST
+        self.reach.is_beyond() && self.view.members.len() > 1 && self.now < since + LEAD_BACKOFF
     }
 }
--- a/crates/core/src/lists.rs
+++ b/crates/core/src/lists.rs
@@ -294,7 +294,7 @@
     fn may_hear_new(&self, id: BlockId, block: &BlockRecord) -> bool {
         let us = &self.settings.node;
         let serves = |node: &String| self.reach.serves(self.now, us, node, &block.zone);
-        if serves(&block.holder) && !self.reach.is_holder_deaf(us, &block.holder, id) {
+        if serves(&block.holder) && !self.reach.holder_hears_none(us, &block.holder, id) {
             return true;
         }
         !self.view.members.keys().any(serves)
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -136,7 +136,7 @@
             && machine.taken_at.is_none()
             && !machine.faulty()
             && !self.draining.contains(name)
-            && !self.reach.is_deaf(machine.block)
+            && !self.reach.is_unheard(machine.block)
             && !self.reports_to_others(name, machine)
             && machine.silent(self.now) < self.silence_limit()
             && machine
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -10,7 +10,7 @@
 //!
 //! Evidence, and what it is worth:
 //!
-//! - *Deaf:* the holder of a block has heard none of its workers for longer than
+//! - *Unheard:* the holder of a block has heard none of its workers for longer than
 //!   chance explains. Nothing new goes there. Without strays nothing moves: the
 //!   workers may have gone with their zone.
 //! - *Stray:* a worker came to somebody else although its holder is up and holds
@@ -19,11 +19,11 @@
 //! - A worker that strays *again* was sent back and got no answer, whatever its
 //!   holder says to have heard.
 //!
-//! Whoever has lost blocks in a zone because it was deaf there asks machines of
+//! Whoever has lost blocks in a zone because it heard nobody there asks machines of
 //! that zone by itself, and gets blocks there again once some have answered.
-//! What is shunned for strays alone is shunned for longer each time, and there
-//! is a bound on moves in a minute, so that a link that comes and goes moves
-//! nothing back and forth.
+//! Whoever has lost blocks for strays alone gets none there for a backoff that
+//! doubles each time, and there is a bound on moves in a minute, so that a link
+//! that comes and goes moves nothing back and forth.
 
 mod hearing;
 
@@ -44,44 +44,44 @@
 use hearing::{Hearing, explained};
 
 /// How often blocks are looked at.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// Whoever did not look for so long has not listened.
-const STALLED: Duration = Duration::from_millis(1000);
+const STALL_LIMIT: Duration = Duration::from_millis(1000);
 /// For how long a stray counts.
-const MEMORY: Duration = Duration::from_secs(16);
+const STRAY_LIFETIME: Duration = Duration::from_secs(16);
 /// Strays of a block at first sight count together within this time.
-const TOGETHER: Duration = Duration::from_secs(7);
+const STRAY_WINDOW: Duration = Duration::from_secs(7);
 /// A worker that comes within this time has not been sent back in between.
-const APART: Duration = Duration::from_secs(1);
+const RETURN_INTERVAL: Duration = Duration::from_secs(1);
 /// How many strays of a block are told and needed at most.
-const ENOUGH: usize = 3;
-const MOST_TOLD: usize = 8;
+const MOST_STRAYS_NEEDED: usize = 3;
+const MOST_STRAYS_TOLD: usize = 8;
 /// A report of a stray waits so long for its block to be leased.
 const LEASE_PATIENCE: Duration = Duration::from_millis(1800);
 /// It waits so long where its holder would not answer at all: a second less than its
 /// worker waits for an answer.
 const RECORDS_PATIENCE: Duration = Duration::from_millis(3000);
 /// For how long a word of a peer counts.
-const FRESH: Duration = Duration::from_secs(3);
+const WORD_LIFETIME: Duration = Duration::from_secs(3);
 /// How often a peer is told that there is trouble, and the leader of news.
-const TELL: Duration = Duration::from_secs(1);
-const NEWS: Duration = Duration::from_millis(100);
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+const NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// How often it is told that all is well again, as a word may be lost.
-const FAREWELLS: u8 = 5;
+const ALL_CLEAR_REPEATS: u8 = 5;
 /// For how long it counts that a peer did not reach a zone when it spoke last.
-const LASTING: Duration = Duration::from_secs(60);
+const UNREACHED_LIFETIME: Duration = Duration::from_secs(60);
 /// For how long a controller gets no blocks of a zone for strays alone; doubled
 /// each time.
-const SHUNNED: Duration = Duration::from_secs(20);
-const MOST_DOUBLED: u32 = 4;
+const BACKOFF: Duration = Duration::from_secs(20);
+const MOST_DOUBLINGS: u32 = 4;
 /// The lead is left to others once in this time at most.
-const RESIGN: Duration = Duration::from_secs(30);
+const RESIGN_INTERVAL: Duration = Duration::from_secs(30);
 /// How often machines are asked whether they can be reached again, how many at
 /// a time, how many have to answer and for how long an answer counts.
-const ASK: Duration = Duration::from_secs(2);
-const ASKED: usize = 4;
-const ANSWERS: usize = 2;
-const ANSWERED: Duration = Duration::from_secs(6);
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+const PROBES: usize = 4;
+const ANSWERS_NEEDED: usize = 2;
+const ANSWER_LIFETIME: Duration = Duration::from_secs(6);
 
 /// A worker that came to us although somebody else holds it.
 #[derive(Clone, Debug, PartialEq)]
@@ -94,9 +94,9 @@
     at: Duration,
 }
 
-/// A zone that we are deaf in.
+/// A zone whose workers we don't hear.
 #[derive(Debug, Default)]
-struct Deaf {
+struct UnreachedZone {
     /// How many machines it has, whoever holds them.
     machines: usize,
     asked_at: Duration,
@@ -104,10 +104,10 @@
     answers: BTreeMap<String, Duration>,
 }
 
-impl Deaf {
+impl UnreachedZone {
     /// Whether too few machines there have answered us.
     fn is_out(&self) -> bool {
-        self.answers.len() < ANSWERS.min(self.machines.max(1))
+        self.answers.len() < ANSWERS_NEEDED.min(self.machines.max(1))
     }
 }
 
@@ -125,7 +125,7 @@
 pub(crate) struct Move {
     pub block: BlockId,
     /// Its holder says itself that it hears none of them.
-    pub deaf: bool,
+    pub unheard: bool,
     /// What is known, for the log.
     pub why: String,
 }
@@ -161,10 +161,10 @@
     period: Duration,
     strays: BTreeMap<String, Stray>,
     blocks: BTreeMap<BlockId, Hearing>,
-    /// Blocks that we lost while deaf, and when. It is told for a while: a peer that
+    /// Blocks that we lost while we heard none of their workers, and when. It is told for a while: a peer that
     /// sees the lease later than this word sent their workers back to us.
-    lost_deaf: BTreeMap<BlockId, Duration>,
-    zones: BTreeMap<String, Deaf>,
+    lost_unheard: BTreeMap<BlockId, Duration>,
+    zones: BTreeMap<String, UnreachedZone>,
     words: BTreeMap<String, (Duration, ReachWord)>,
     /// Zones that a peer said last it does not reach, with its incarnation. This
     /// outlasts the word, as a peer that is cut off further can't say it again.
@@ -175,7 +175,7 @@
     /// Something is new since then.
     news: bool,
     /// How often it remains to be told that all is well.
-    untold: u8,
+    all_clears_left: u8,
     /// How many workers the holder of a block has missed since it hears none of them,
     /// by the block's term.
     missed: BTreeMap<BlockId, (Term, usize)>,
@@ -183,7 +183,7 @@
     leased: BTreeMap<BlockId, (Term, Duration)>,
     /// Until when a controller gets no blocks of a zone, and how often that
     /// was.
-    shunned: BTreeMap<(String, String), (Duration, u32)>,
+    backoff: BTreeMap<(String, String), (Duration, u32)>,
     moved: VecDeque<Duration>,
     resigned_at: Option<Duration>,
 }
@@ -195,7 +195,7 @@
             period,
             strays: BTreeMap::new(),
             blocks: BTreeMap::new(),
-            lost_deaf: BTreeMap::new(),
+            lost_unheard: BTreeMap::new(),
             zones: BTreeMap::new(),
             words: BTreeMap::new(),
             unreached: BTreeMap::new(),
@@ -203,10 +203,10 @@
             looked_at: Duration::ZERO,
             told_at: Duration::ZERO,
             news: false,
-            untold: 0,
+            all_clears_left: 0,
             missed: BTreeMap::new(),
             leased: BTreeMap::new(),
-            shunned: BTreeMap::new(),
+            backoff: BTreeMap::new(),
             moved: VecDeque::new(),
             resigned_at: None,
         }
@@ -252,11 +252,11 @@
             at: now,
         };
         let stray = self.strays.entry(machine.clone()).or_insert(fresh);
-        if stray.term != term || now > stray.at + MEMORY {
+        if stray.term != term || now > stray.at + STRAY_LIFETIME {
             (stray.block, stray.term) = (block, term);
             (stray.settled, stray.times) = (settled, 0);
         }
-        if stray.times == 0 || now > stray.at + APART {
+        if stray.times == 0 || now > stray.at + RETURN_INTERVAL {
             stray.times += 1;
             self.news = true;
         }
@@ -265,9 +265,9 @@
         let again = knows && stray.times > 1;
         let settled = stray.settled;
         let others = self.strays.iter().filter(|(name, s)| {
-            *name != machine && s.term == term && s.settled && now < s.at + TOGETHER
+            *name != machine && s.term == term && s.settled && now < s.at + STRAY_WINDOW
         });
-        if report.token > term || self.says_deaf(holder, block) {
+        if report.token > term || self.says_unheard(holder, block) {
             Advice::AwaitRecords
         } else if again || (settled && others.count() > 0) {
             Advice::AwaitLease
@@ -321,9 +321,9 @@
     }
 
     /// Whether we hear none of a block's workers.
-    pub fn is_deaf(&self, block: BlockId) -> bool {
+    pub fn is_unheard(&self, block: BlockId) -> bool {
         let hearing = self.blocks.get(&block);
-        hearing.is_some_and(|h| h.deaf && h.machines() >= ENOUGH)
+        hearing.is_some_and(|h| h.unheard && h.machines() >= MOST_STRAYS_NEEDED)
     }
 
     /// Looks at all blocks that we hold again: zone and number of machines that
@@ -336,11 +336,11 @@
         held: impl FnOnce() -> BTreeMap<BlockId, (String, usize)>,
         machines_of: impl Fn(&str) -> usize,
     ) {
-        if now < self.looked_at + LOOK {
+        if now < self.looked_at + LOOK_INTERVAL {
             return;
         }
         let before = std::mem::replace(&mut self.looked_at, now);
-        if now > before + STALLED {
+        if now > before + STALL_LIMIT {
             // We stood still, and can't tell who was silent meanwhile.
             let gap = now - before;
             for hearing in self.blocks.values_mut() {
@@ -350,30 +350,30 @@
         let held = held();
         let has_machines_of = |id: &BlockId| held.get(id).is_some_and(|(_, n)| *n > 0);
         for (id, hearing) in &self.blocks {
-            // Lost while deaf: until machines there have answered.
-            if !has_machines_of(id) && hearing.deaf {
+            // Lost while we heard nobody: until machines there have answered.
+            if !has_machines_of(id) && hearing.unheard {
                 Self::is_cut(&mut self.zones, &hearing.zone);
-                self.lost_deaf.insert(*id, now);
+                self.lost_unheard.insert(*id, now);
             }
         }
-        self.lost_deaf
-            .retain(|id, at| now < *at + FRESH && !has_machines_of(id));
+        self.lost_unheard
+            .retain(|id, at| now < *at + WORD_LIFETIME && !has_machines_of(id));
         self.blocks.retain(|id, _| held.contains_key(id));
         for (id, (zone, machines)) in held {
             let hearing = self.blocks.entry(id);
             let hearing = hearing.or_insert_with(|| Hearing::new(now, zone));
             hearing.count(now, before, machines);
             let quiet = now.saturating_sub(hearing.silent_since());
-            let deaf = hearing.is_silent(now, self.period);
-            if deaf != std::mem::replace(&mut hearing.deaf, deaf) {
+            let unheard = hearing.is_silent(now, self.period);
+            if unheard != std::mem::replace(&mut hearing.unheard, unheard) {
                 self.news = true;
-                if deaf {
+                if unheard {
                     log::info!("block {id}: none of its {machines} workers heard for {quiet:.1?}");
                 }
             }
         }
         let inhabited = self.blocks.values().filter(|h| h.machines() > 0);
-        for hearing in inhabited.filter(|h| h.deaf) {
+        for hearing in inhabited.filter(|h| h.unheard) {
             Self::is_cut(&mut self.zones, &hearing.zone);
         }
         // Whoever hears nobody can't tell about zones in which it holds nothing:
@@ -389,8 +389,8 @@
                 Self::is_cut(&mut self.zones, zone);
             }
         }
-        for (zone, deaf) in &mut self.zones {
-            deaf.machines = machines_of(zone);
+        for (zone, unreached) in &mut self.zones {
+            unreached.machines = machines_of(zone);
         }
         for hearing in self.blocks.values_mut() {
             if self.zones.get(&hearing.zone).is_some_and(|z| !z.is_out()) {
@@ -398,25 +398,28 @@
             }
         }
         let blocks = &self.blocks;
-        self.zones.retain(|zone, deaf| {
-            deaf.answers.retain(|_, at| now < *at + ANSWERED);
+        self.zones.retain(|zone, unreached| {
+            unreached
+                .answers
+                .retain(|_, at| now < *at + ANSWER_LIFETIME);
             let inhabited = blocks.values().filter(|h| h.machines() > 0);
             let mut here = inhabited.filter(|h| h.zone == *zone).peekable();
             if here.peek().is_some() {
-                return alone || here.any(|h| h.deaf);
+                return alone || here.any(|h| h.unheard);
             }
-            if deaf.machines == 0 {
+            if unreached.machines == 0 {
                 // Nobody is there to be reached.
                 return false;
             }
             // As long as we hear nobody elsewhere we go on asking.
-            deaf.is_out() || alone
+            unreached.is_out() || alone
         });
-        self.strays.retain(|_, s| now <= s.at + MEMORY);
-        self.words.retain(|_, (at, _)| now < *at + FRESH);
-        self.unreached.retain(|_, (at, ..)| now < *at + LASTING);
-        let forgotten = SHUNNED * 2u32.pow(MOST_DOUBLED);
-        self.shunned
+        self.strays.retain(|_, s| now <= s.at + STRAY_LIFETIME);
+        self.words.retain(|_, (at, _)| now < *at + WORD_LIFETIME);
+        self.unreached
+            .retain(|_, (at, ..)| now < *at + UNREACHED_LIFETIME);
+        let forgotten = BACKOFF * 2u32.pow(MOST_DOUBLINGS);
+        self.backoff
             .retain(|_, (until, _)| now < *until + forgotten);
     }
 
@@ -425,9 +428,9 @@
         self.blocks.values().filter(|h| h.machines() > 0)
     }
 
-    fn is_cut(zones: &mut BTreeMap<String, Deaf>, zone: &str) {
+    fn is_cut(zones: &mut BTreeMap<String, UnreachedZone>, zone: &str) {
         if !zones.contains_key(zone) {
-            zones.insert(zone.to_owned(), Deaf::default());
+            zones.insert(zone.to_owned(), UnreachedZone::default());
         }
     }
 
@@ -442,15 +445,15 @@
     ) -> Vec<&'a str> {
         let mut ask = Vec::new();
         let blocks = &self.blocks;
-        for (zone, deaf) in &mut self.zones {
+        for (zone, unreached) in &mut self.zones {
             let mut inhabited = blocks.values().filter(|h| h.machines() > 0);
             let held = inhabited.any(|h| h.zone == *zone);
-            if held || now < deaf.asked_at + ASK {
+            if held || now < unreached.asked_at + PROBE_INTERVAL {
                 continue;
             }
-            deaf.asked_at = now;
+            unreached.asked_at = now;
             let mut names: Vec<_> = machines(zone).collect();
-            for _ in 0..ASKED.min(names.len()) {
+            for _ in 0..PROBES.min(names.len()) {
                 ask.push(names.swap_remove(draw(names.len())));
             }
         }
@@ -459,10 +462,10 @@
 
     /// A machine of a zone has answered.
     pub fn answered(&mut self, now: Duration, zone: &str, machine: &str) {
-        if let Some(deaf) = self.zones.get_mut(zone) {
-            let was_out = deaf.is_out();
-            deaf.answers.insert(machine.to_owned(), now);
-            if was_out && !deaf.is_out() {
+        if let Some(unreached) = self.zones.get_mut(zone) {
+            let was_out = unreached.is_out();
+            unreached.answers.insert(machine.to_owned(), now);
+            if was_out && !unreached.is_out() {
                 log::info!("{zone}: its machines can be reached");
             }
         }
@@ -492,10 +495,10 @@
     /// workers, by its own word: it may be cut off further than it knows yet.
     pub fn is_suspect(&self, us: &str, node: &str) -> bool {
         let hears_nobody = match node == us {
-            true => self.blocks.values().any(|h| h.deaf),
+            true => self.blocks.values().any(|h| h.unheard),
             false => {
                 let word = self.words.get(node);
-                word.is_some_and(|(_, word)| !word.deaf.is_empty())
+                word.is_some_and(|(_, word)| !word.unheard.is_empty())
             }
         };
         hears_nobody || !self.out_of(us, node).is_empty()
@@ -504,26 +507,30 @@
     /// What is to be told, in the words of whoever we are; none if there is
     /// nothing, or nothing yet.
     pub fn tell(&mut self, now: Duration, from: &str, incarnation: u64) -> Option<ReachWord> {
-        let wait = if self.news { NEWS } else { TELL };
+        let wait = if self.news {
+            NEWS_INTERVAL
+        } else {
+            TELL_INTERVAL
+        };
         if now < self.told_at + wait {
             return None;
         }
-        let deaf = self.blocks.iter().filter(|(_, h)| h.deaf);
-        let deaf = deaf.map(|(id, _)| id).chain(self.lost_deaf.keys());
+        let unheard = self.blocks.iter().filter(|(_, h)| h.unheard);
+        let unheard = unheard.map(|(id, _)| id).chain(self.lost_unheard.keys());
         let word = ReachWord {
             from: from.to_owned(),
             incarnation,
-            deaf: deaf.copied().collect(),
+            unheard: unheard.copied().collect(),
             zones: self.out().cloned().collect(),
             strays: self.strays_told(now),
         };
-        let some = !word.deaf.is_empty() || !word.zones.is_empty() || !word.strays.is_empty();
+        let some = !word.unheard.is_empty() || !word.zones.is_empty() || !word.strays.is_empty();
         // The last words are that all is well again.
-        let due = some || self.untold > 0;
+        let due = some || self.all_clears_left > 0;
         self.news = false;
-        self.untold = match some {
-            true => FAREWELLS,
-            false => self.untold.saturating_sub(1),
+        self.all_clears_left = match some {
+            true => ALL_CLEAR_REPEATS,
+            false => self.all_clears_left.saturating_sub(1),
         };
         due.then(|| {
             self.told_at = now;
@@ -533,7 +540,10 @@
 
     /// The zones whose machines we don't reach.
     fn out(&self) -> impl Iterator<Item = &String> {
-        let out = self.zones.iter().filter(|(_, deaf)| deaf.is_out());
+        let out = self
+            .zones
+            .iter()
+            .filter(|(_, unreached)| unreached.is_out());
         out.map(|(zone, _)| zone)
     }
 
@@ -571,7 +581,7 @@
                 (block, n) if block == s.block => (block, n + 1),
                 _ => (s.block, 1),
             };
-            count.1 <= MOST_TOLD
+            count.1 <= MOST_STRAYS_TOLD
         });
         told
     }
@@ -593,20 +603,20 @@
     /// serve workers of a zone. `us` is our name.
     pub fn serves(&self, now: Duration, us: &str, node: &str, zone: &str) -> bool {
         let by_word = self.out_of(us, node).into_iter().any(|z| z == zone);
-        let shunned = self.shunned.get(&(node.to_owned(), zone.to_owned()));
-        !by_word && shunned.is_none_or(|(until, _)| now >= *until)
+        let backoff = self.backoff.get(&(node.to_owned(), zone.to_owned()));
+        !by_word && backoff.is_none_or(|(until, _)| now >= *until)
     }
 
     /// Whether a peer says that it hears none of a block's workers.
-    fn says_deaf(&self, node: &str, block: BlockId) -> bool {
+    fn says_unheard(&self, node: &str, block: BlockId) -> bool {
         let word = self.words.get(node);
-        word.is_some_and(|(_, word)| word.deaf.contains(&block))
+        word.is_some_and(|(_, word)| word.unheard.contains(&block))
     }
 
     /// Whether the holder of a block, by its own word, hears none of its workers.
     pub fn nobody_hears(&self, block: BlockId) -> bool {
         let mut words = self.words.values();
-        self.is_deaf(block) || words.any(|(_, w)| w.deaf.contains(&block))
+        self.is_unheard(block) || words.any(|(_, w)| w.unheard.contains(&block))
     }
 
     /// Whether a machine came to us or to a peer lately, though another controller holds
@@ -618,7 +628,7 @@
     /// When a machine came last, of late, to us or to a peer that does not hold it.
     pub fn strayed_at(&self, now: Duration, machine: &str) -> Option<Duration> {
         let ours = self.strays.get(machine).map(|s| s.at);
-        let ours = ours.filter(|at| now <= *at + MEMORY);
+        let ours = ours.filter(|at| now <= *at + STRAY_LIFETIME);
         let told = self.words.values().flat_map(|(at, word)| {
             let here = word.strays.iter().filter(|s| s.machine == machine);
             here.map(|s| at.saturating_sub(Duration::from_millis(s.ago_ms)))
@@ -650,26 +660,26 @@
             let mut lately = BTreeSet::new();
             for stray in of {
                 *times.entry(&stray.machine).or_default() += stray.times;
-                if stray.settled && stray.ago_ms < TOGETHER.as_millis() as u64 {
+                if stray.settled && stray.ago_ms < STRAY_WINDOW.as_millis() as u64 {
                     lately.insert(&stray.machine);
                 }
             }
             let again = times.values().filter(|n| **n > 1).count();
-            let need = |machines: usize| ENOUGH.min(machines.div_ceil(2)).max(1);
+            let need = |machines: usize| MOST_STRAYS_NEEDED.min(machines.div_ceil(2)).max(1);
             let missed = self.missed.get(&block.id).map(|(_, machines)| *machines);
-            let deaf = missed.is_some_and(|missed| lately.len().max(again) >= need(missed));
-            let all = need(block.machines).max((block.machines / 5).min(MOST_TOLD));
-            if !deaf && again < all {
+            let unheard = missed.is_some_and(|missed| lately.len().max(again) >= need(missed));
+            let all = need(block.machines).max((block.machines / 5).min(MOST_STRAYS_TOLD));
+            if !unheard && again < all {
                 continue;
             }
-            let heard = if deaf {
+            let heard = if unheard {
                 "hears none of them"
             } else {
                 "may hear them"
             };
             moves.push(Move {
                 block: block.id,
-                deaf,
+                unheard,
                 why: format!(
                     "of {} workers {} came to others, {again} again, {} {heard}",
                     block.machines,
@@ -686,7 +696,7 @@
     fn count_missed(&mut self, us: &str, blocks: &[Looked]) {
         let mut missed = BTreeMap::new();
         for block in blocks {
-            if !self.is_holder_deaf(us, block.holder, block.id) {
+            if !self.holder_hears_none(us, block.holder, block.id) {
                 continue;
             }
             let before = self.missed.get(&block.id);
@@ -699,39 +709,41 @@
 
     /// Whether the holder of a block hears none of its workers, by what it says or, if
     /// it is us, by what we know.
-    pub fn is_holder_deaf(&self, us: &str, holder: &str, block: BlockId) -> bool {
+    pub fn holder_hears_none(&self, us: &str, holder: &str, block: BlockId) -> bool {
         match holder == us {
-            true => self.blocks.get(&block).is_some_and(|h| h.deaf),
-            false => self.says_deaf(holder, block),
+            true => self.blocks.get(&block).is_some_and(|h| h.unheard),
+            false => self.says_unheard(holder, block),
         }
     }
 
     /// A block is leased away from a holder for that.
-    pub fn moved(&mut self, now: Duration, holder: &str, zone: &str, deaf: bool) {
+    pub fn moved(&mut self, now: Duration, holder: &str, zone: &str, unheard: bool) {
         self.moved.push_back(now);
-        if deaf {
+        if unheard {
             // It says itself when it can be reached again.
             return;
         }
         let key = (holder.to_owned(), zone.to_owned());
-        let (until, times) = self.shunned.entry(key).or_default();
+        let (until, times) = self.backoff.entry(key).or_default();
         if now >= *until {
-            *until = now + SHUNNED * 2u32.pow(*times);
-            *times = (*times + 1).min(MOST_DOUBLED);
+            *until = now + BACKOFF * 2u32.pow(*times);
+            *times = (*times + 1).min(MOST_DOUBLINGS);
         }
     }
 
     /// Whether we reach no workers anywhere any more, and all blocks that we had have
     /// gone to others.
     pub fn is_beyond(&self) -> bool {
-        let all = !self.zones.is_empty() && self.zones.values().all(Deaf::is_out);
+        let all = !self.zones.is_empty() && self.zones.values().all(UnreachedZone::is_out);
         all && self.inhabited().next().is_none()
     }
 
     /// Whether whoever leads should leave the lead to others now. `others` tells
     /// whether somebody else holds machines, and reaches them as far as we know.
     pub fn should_resign(&self, now: Duration, others: bool) -> bool {
-        let lately = self.resigned_at.is_some_and(|at| now < at + RESIGN);
+        let lately = self
+            .resigned_at
+            .is_some_and(|at| now < at + RESIGN_INTERVAL);
         self.is_beyond() && !lately && others
     }
 
--- a/crates/core/src/reach/hearing.rs
+++ b/crates/core/src/reach/hearing.rs
@@ -5,21 +5,21 @@
 
 /// Whoever has taken a block is found by its workers within this time beyond
 /// their reports.
-const FOUND: Duration = Duration::from_secs(5);
-/// For how long a block without machines stays deaf.
-const EMPTY_DEAF: Duration = Duration::from_secs(60);
+const GRACE_PERIOD: Duration = Duration::from_secs(5);
+/// For how long a block without machines stays unheard.
+const EMPTY_UNHEARD: Duration = Duration::from_secs(60);
 
 /// A block that we hold.
 #[derive(Debug)]
 pub(super) struct Hearing {
     pub zone: String,
     /// None of its workers is heard.
-    pub deaf: bool,
+    pub unheard: bool,
     machines: usize,
     /// When it had machines last.
     inhabited: Duration,
     /// Until when its workers may still be looking for us.
-    found_by: Duration,
+    grace_until: Duration,
     /// Those that have found us until then.
     found: BTreeSet<String>,
     /// When a worker of it was heard last.
@@ -31,10 +31,10 @@
     pub fn new(now: Duration, zone: String) -> Self {
         Self {
             zone,
-            deaf: false,
+            unheard: false,
             machines: 0,
             inhabited: now,
-            found_by: now + FOUND,
+            grace_until: now + GRACE_PERIOD,
             found: BTreeSet::new(),
             heard: None,
         }
@@ -48,20 +48,20 @@
     /// Since when nobody has been heard; before anybody was, when they will have found
     /// us.
     pub fn silent_since(&self) -> Duration {
-        self.heard.unwrap_or(self.found_by)
+        self.heard.unwrap_or(self.grace_until)
     }
 
     /// A worker has reported.
     pub fn hear(&mut self, now: Duration, machine: &str) {
         self.heard = Some(now);
-        if now < self.found_by && !self.found.contains(machine) {
+        if now < self.grace_until && !self.found.contains(machine) {
             self.found.insert(machine.to_owned());
         }
     }
 
     /// We stood still for a while and have heard nobody meanwhile.
     pub fn stood_still(&mut self, gap: Duration) {
-        self.found_by += gap;
+        self.grace_until += gap;
         self.heard = self.heard.map(|at| at + gap);
     }
 
@@ -72,10 +72,10 @@
         if machines > 0 {
             self.inhabited = now;
         }
-        if !was_empty || machines == 0 || self.deaf {
+        if !was_empty || machines == 0 || self.unheard {
             return;
         }
-        self.found_by = now + FOUND;
+        self.grace_until = now + GRACE_PERIOD;
         if self.heard.is_none_or(|at| at < since) {
             self.found.clear();
             self.heard = None;
@@ -85,7 +85,7 @@
     /// How many workers can be expected to report: as long as others may still be
     /// looking for us, those that have found us.
     pub fn expected(&self, now: Duration) -> usize {
-        match now < self.found_by {
+        match now < self.grace_until {
             true => self.found.len().min(self.machines),
             false => self.machines,
         }
@@ -96,7 +96,7 @@
     /// hear the next one either.
     pub fn is_silent(&self, now: Duration, period: Duration) -> bool {
         if self.machines == 0 {
-            return self.deaf && now < self.inhabited + EMPTY_DEAF;
+            return self.unheard && now < self.inhabited + EMPTY_UNHEARD;
         }
         let quiet = now.saturating_sub(self.silent_since());
         quiet > explained(period, self.expected(now))
@@ -105,7 +105,7 @@
     /// Machines of its zone have answered us.
     pub fn zone_answers(&mut self) {
         if self.machines == 0 {
-            self.deaf = false;
+            self.unheard = false;
         }
     }
 }
--- a/crates/core/src/reach/tests.rs
+++ b/crates/core/src/reach/tests.rs
@@ -31,18 +31,18 @@
     }]
 }
 
-fn word(deaf: Vec<BlockId>) -> ReachWord {
+fn word(unheard: Vec<BlockId>) -> ReachWord {
     ReachWord {
         from: "n-1".into(),
         incarnation: 1,
-        deaf,
+        unheard,
         zones: vec!["a".into()],
         strays: Vec::new(),
     }
 }
 
 #[test]
-fn strays_of_a_deaf_holder_move_its_block() {
+fn strays_of_a_unheard_holder_move_its_block() {
     let (mut reach, now) = (leader(), ms(60_000));
     let first = reach.strayed(now, &report(1, 7), (1, 7), "n-1");
     assert_eq!(first, Advice::SendOn);
@@ -53,7 +53,10 @@
     assert_eq!(reach.moves(now, "n-0", &block(26)), [], "it may hear them");
     reach.hear(now, word(vec![1]));
     let moves = reach.moves(now, "n-0", &block(26));
-    assert_eq!((moves.len(), moves[0].block, moves[0].deaf), (1, 1, true));
+    assert_eq!(
+        (moves.len(), moves[0].block, moves[0].unheard),
+        (1, 1, true)
+    );
     assert!(!reach.serves(now, "n-0", "n-1", "a"));
     assert!(reach.serves(now, "n-0", "n-1", "b"));
     // Once the holder says that it hears somebody, nothing moves any more.
@@ -115,15 +118,15 @@
     let mut reach = Reach::new(PERIOD);
     let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
     let mut now = ms(0);
-    let mut deaf_at = None;
+    let mut unheard_at = None;
     while now < ms(120_000) {
         reach.leased(now, 1, 7);
         if now < ms(30_000) {
             reach.heard(now, 1, "vm-1");
         }
         reach.look(now, &[], held(26), |_| 26);
-        if reach.is_deaf(1) {
-            deaf_at = deaf_at.or(Some(now));
+        if reach.is_unheard(1) {
+            unheard_at = unheard_at.or(Some(now));
         }
         let ours = [Looked {
             holder: "n-0",
@@ -133,17 +136,20 @@
         assert!(!reach.is_beyond());
         now += ms(250);
     }
-    let deaf_at = deaf_at.expect("it is noticed");
-    assert!((ms(35_000)..ms(36_000)).contains(&deaf_at), "{deaf_at:?}");
+    let unheard_at = unheard_at.expect("it is noticed");
+    assert!(
+        (ms(35_000)..ms(36_000)).contains(&unheard_at),
+        "{unheard_at:?}"
+    );
     // They are back.
     reach.heard(now, 1, "vm-1");
     reach.look(now + ms(250), &[], held(26), |_| 26);
-    assert!(!reach.is_deaf(1) && reach.serves(now, "n-0", "n-0", "a"));
+    assert!(!reach.is_unheard(1) && reach.serves(now, "n-0", "n-0", "a"));
 }
 
 /// Who stood still has heard nobody meanwhile, and that means nothing.
 #[test]
-fn whoever_stood_still_is_not_deaf() {
+fn whoever_stood_still_is_not_unheard() {
     let mut reach = Reach::new(PERIOD);
     let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
     for step in 0..40 {
@@ -151,7 +157,7 @@
         reach.heard(ms(250 * step), 1, "vm-1");
     }
     reach.look(ms(60_000), &[], held, |_| 26);
-    assert!(!reach.is_deaf(1));
+    assert!(!reach.is_unheard(1));
 }
 
 #[test]
@@ -164,7 +170,7 @@
         reach.look(now, &[], held, |_| 26);
         now += ms(250);
     }
-    assert!(reach.is_deaf(1) && !reach.is_beyond());
+    assert!(reach.is_unheard(1) && !reach.is_beyond());
     assert_eq!(reach.questions(now, |_| names.into_iter(), |_| 0).len(), 0);
     // Its block goes to somebody else.
     reach.look(now, &[], BTreeMap::new, |_| 26);
@@ -175,7 +181,7 @@
     assert!(!reach.should_resign(now + ms(29_000), true));
     assert!(reach.should_resign(now + ms(31_000), true));
     let asked = reach.questions(now, |_| names.into_iter(), |_| 0);
-    assert_eq!(asked.len(), ASKED);
+    assert_eq!(asked.len(), PROBES);
     assert_eq!(reach.questions(now, |_| names.into_iter(), |_| 0).len(), 0);
     reach.answered(now, "a", "vm-1");
     now += ms(250);
@@ -275,7 +281,7 @@
             ..block(9)[0].clone()
         }];
         for found in reach.moves(now, "n-0", &looked) {
-            reach.moved(now, "n-1", "a", found.deaf);
+            reach.moved(now, "n-1", "a", found.unheard);
             moved.push(now);
             term += 1;
         }
@@ -300,7 +306,7 @@
 /// The holder lost the block and told nothing of it any more; whoever saw the new lease
 /// later than that sent workers back to it.
 #[test]
-fn a_block_that_was_lost_while_deaf_is_told_for_a_while() {
+fn a_block_that_was_lost_while_unheard_is_told_for_a_while() {
     let mut reach = Reach::new(PERIOD);
     let held = || BTreeMap::from([(1, ("a".to_owned(), 26))]);
     let mut now = ms(0);
@@ -308,10 +314,10 @@
         reach.look(now, &[], held, |_| 26);
         now += ms(250);
     }
-    let told = |reach: &mut Reach, now| reach.tell(now, "n-0", 1).map(|word| word.deaf);
+    let told = |reach: &mut Reach, now| reach.tell(now, "n-0", 1).map(|word| word.unheard);
     reach.look(now, &[], BTreeMap::new, |_| 26);
     assert_eq!(told(&mut reach, now), Some(vec![1]));
-    now += FRESH;
+    now += WORD_LIFETIME;
     reach.look(now, &[], BTreeMap::new, |_| 26);
     assert_eq!(told(&mut reach, now), Some(Vec::new()));
 }
@@ -322,20 +328,20 @@
 fn whoever_was_heard_is_missed_at_once() {
     let mut reach = Reach::new(PERIOD);
     let held = || BTreeMap::from([(1, ("a".to_owned(), 1))]);
-    let mut deaf_at = None;
+    let mut unheard_at = None;
     for step in 0..80 {
         let now = ms(250 * step);
         reach.look(now, &[], held, |_| 26);
         if step == 4 {
             reach.heard(now, 1, "vm-1");
         }
-        let is_deaf = reach.blocks.values().any(|hearing| hearing.deaf);
-        deaf_at = deaf_at.or(is_deaf.then_some(now));
+        let is_unheard = reach.blocks.values().any(|hearing| hearing.unheard);
+        unheard_at = unheard_at.or(is_unheard.then_some(now));
     }
-    let deaf_at = deaf_at.expect("it is noticed");
+    let unheard_at = unheard_at.expect("it is noticed");
     assert!(
-        deaf_at <= ms(1000) + PERIOD * 7 / 5 + ms(250),
-        "{deaf_at:?}"
+        unheard_at <= ms(1000) + PERIOD * 7 / 5 + ms(250),
+        "{unheard_at:?}"
     );
 }
 
@@ -366,24 +372,24 @@
     let mut now = heard + ms(150);
     while now <= heard + PERIOD * 7 / 5 {
         reach.look(now, &[], held(1), |_| 26);
-        assert!(!reach.blocks[&1].deaf, "{now:?}");
+        assert!(!reach.blocks[&1].unheard, "{now:?}");
         now += ms(250);
     }
     reach.look(now, &[], held(1), |_| 26);
-    assert!(reach.blocks[&1].deaf);
+    assert!(reach.blocks[&1].unheard);
 }
 
 /// New machines came into the block of a holder that heard nobody: they had never been
 /// heard, proved nothing, and only raised how many strays were needed.
 #[test]
-fn new_machines_of_a_deaf_holder_are_not_needed_as_strays() {
+fn new_machines_of_a_unheard_holder_are_not_needed_as_strays() {
     let (mut reach, now) = (leader(), ms(60_000));
     reach.hear(now, word(vec![1]));
     assert_eq!(reach.moves(now, "n-0", &block(1)), []);
     reach.strayed(now, &report(1, 7), (1, 7), "n-1");
     let moves = reach.moves(now, "n-0", &block(5));
     assert_eq!(
-        (moves.len(), moves.first().map(|m| m.deaf)),
+        (moves.len(), moves.first().map(|m| m.unheard)),
         (1, Some(true))
     );
     // It counts from anew once it has heard somebody.
@@ -393,10 +399,10 @@
     assert_eq!(reach.moves(now, "n-0", &block(5)), []);
 }
 
-/// A holder was deaf when its last machine went; it took the next one for one that it
+/// A holder was unheard when its last machine went; it took the next one for one that it
 /// had only not heard yet.
 #[test]
-fn an_empty_block_stays_deaf_for_a_while() {
+fn an_empty_block_stays_unheard_for_a_while() {
     let mut reach = Reach::new(PERIOD);
     let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
     let mut now = ms(0);
@@ -404,26 +410,26 @@
         reach.look(now, &[], held(1), |_| 26);
         now += ms(250);
     }
-    let is_deaf = |reach: &Reach| reach.is_holder_deaf("n-0", "n-0", 1);
+    let is_unheard = |reach: &Reach| reach.holder_hears_none("n-0", "n-0", 1);
     reach.look(now, &[], held(0), |_| 0);
-    assert!(is_deaf(&reach) && reach.is_suspect("n-0", "n-0"));
+    assert!(is_unheard(&reach) && reach.is_suspect("n-0", "n-0"));
     now += ms(30_000);
     reach.look(now, &[], held(1), |_| 26);
-    assert!(is_deaf(&reach), "the next one is not heard either");
+    assert!(is_unheard(&reach), "the next one is not heard either");
     reach.heard(now, 1, "vm-2");
     reach.look(now + ms(250), &[], held(1), |_| 26);
-    assert!(!is_deaf(&reach));
+    assert!(!is_unheard(&reach));
 }
 
 #[test]
-fn an_empty_block_is_not_deaf_for_ever() {
+fn an_empty_block_is_not_unheard_for_ever() {
     let mut reach = Reach::new(PERIOD);
     let held = |machines| move || BTreeMap::from([(1, ("a".to_owned(), machines))]);
     for step in 0..400 {
         let machines = usize::from(step < 80);
         reach.look(ms(250 * step), &[], held(machines), |_| machines);
     }
-    assert!(!reach.is_holder_deaf("n-0", "n-0", 1));
+    assert!(!reach.holder_hears_none("n-0", "n-0", 1));
 }
 
 /// A controller had lost its only machine, and would only take blocks again once two had
--- a/crates/core/src/store/session.rs
+++ b/crates/core/src/store/session.rs
@@ -124,8 +124,8 @@
     /// Takes the lead when nobody has it, or when it belongs to an earlier
     /// incarnation of this very controller, which is surely gone.
     pub(super) fn seek_leadership(&mut self) {
-        let modest = self.is_modest();
-        let Some(hold) = self.store.hold.filter(|_| !modest) else {
+        let backs_off = self.backs_off_from_lead();
+        let Some(hold) = self.store.hold.filter(|_| !backs_off) else {
             return;
         };
         let waits = self.store.lead_pending || self.view.revision < self.store.session_at;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -66,7 +66,7 @@
     /// In which incarnation.
     pub incarnation: u64,
     /// Blocks that it holds and whose workers it does not hear.
-    pub deaf: Vec<u32>,
+    pub unheard: Vec<u32>,
     /// Zones whose workers it does not reach.
     pub zones: Vec<String>,
     /// Workers that came to it although others hold them.
