--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -494,9 +494,11 @@
 fn losses(seeds: Range<u64>, play: impl Fn(u64) -> Outcome + Sync) -> Vec<(u64, usize)> {
     let lost = Mutex::new(Vec::new());
     side_by_side(seeds, |seed| {
-        let tasks = play(seed).lost;
-        if tasks > 0 {
-            lost.lock().expect("no panic").push((seed, tasks));
+        let outcome = play(seed);
+        assert_eq!((outcome.broken, outcome.open), (vec![], vec![]), "{seed}");
+        if outcome.lost > 0 {
+            let mut lost = lost.lock().expect("no panic before");
+            lost.push((seed, outcome.lost));
         }
     });
     let mut lost = lost.into_inner().expect("no panic");
