testkit: the log of a lost lease names the worker's last reports and what came of them

At debug each lease that ends with tasks on it is one line: which controllers the worker came to, when, and what they answered.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod best;
 pub mod cloud;
+pub mod contacts;
 pub mod draws;
 pub mod evidence;
 pub mod faults;
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -9,7 +9,10 @@
     worker::{DirectOrders, Order, Report, ReportAnswer, TaskReport, TaskState, Why},
 };
 
-use crate::rules::{Rules, Site};
+use crate::{
+    contacts::{ContactHistory, ReportOutcome},
+    rules::{Rules, Site},
+};
 
 /// For so long a machine counts as new.
 const NEW: Duration = Duration::from_secs(5);
@@ -39,6 +42,8 @@
     pub in_flight: Option<(u64, Duration)>,
     /// When it reports next.
     pub report_at: Duration,
+    /// Its last reports.
+    pub contacts: ContactHistory,
     kind: MachineType,
     up_at: Duration,
     session: u64,
@@ -67,6 +72,7 @@
             target: 0,
             in_flight: None,
             report_at: now,
+            contacts: ContactHistory::default(),
             kind,
             up_at: now,
             session: 1,
@@ -166,8 +172,10 @@
         rules: &mut Rules,
     ) {
         if answer.token < self.token || answer.token == 0 {
+            self.contacts.answered(ReportOutcome::Stale);
             return;
         }
+        self.contacts.answered(ReportOutcome::Renewed);
         self.token = answer.token;
         self.renewed = self.renewed.max(sent);
         self.execute(now, answer.orders, rules);
@@ -275,6 +283,16 @@
     /// Time has passed.
     pub fn pass(&mut self, now: Duration, rules: &mut Rules) {
         if now > self.renewed + self.lease {
+            if self.tasks() > 0 {
+                log::debug!(
+                    "{}: lease over at {:.2} s with {} tasks, token {};{}",
+                    self.name,
+                    (self.renewed + self.lease).as_secs_f64(),
+                    self.tasks(),
+                    self.token,
+                    self.contacts
+                );
+            }
             self.die(rules);
             self.session += 1;
             self.renewed = now;
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -10,6 +10,7 @@
 
 use super::{Asker, Event, MS, NODES, REPORT_PATIENCE, World};
 use crate::{
+    contacts::ReportOutcome,
     evidence::Hung,
     faults::{Fault, LATEST_REPORT, Way},
 };
@@ -126,6 +127,7 @@
         self.next_id += 1;
         let report = self.next_id;
         worker.in_flight = Some((report, now));
+        worker.contacts.sent(now, node);
         self.reports.insert(report, (session, now));
         let at = match self.worker_cut(node, name, Way::FromMachine) {
             Some(until) => until + latency,
@@ -271,11 +273,16 @@
                     let node: usize = n.trim_start_matches("n-").parse().ok()?;
                     (node != worker.target).then_some(node)
                 });
+                worker.contacts.answered(match to {
+                    Some(to) => ReportOutcome::SentTo(to),
+                    None => ReportOutcome::Refused(status),
+                });
                 worker.target = to.unwrap_or((worker.target + 1) % NODES);
                 let wait = if to.is_some() { 100 } else { 1000 };
                 worker.report_at = now + MS * wait;
             }
             _ => {
+                worker.contacts.answered(ReportOutcome::Refused(status));
                 worker.target = (worker.target + 1) % NODES;
                 worker.report_at = now + MS * 1000;
             }
