A machine is not idle while a task handed to its block may be on it

Cause: the leader spared only machines that it had planned tasks for itself.

Mend: as long as a task that was handed out has no known place, no machine of its block that it fits on is idle. Switch IdleAsPlanned, caught by a_machine_that_may_have_a_task_is_not_idle.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -147,6 +147,9 @@
     /// A machine that its holder does not hear is returned early, though it came to
     /// others, and no report is forwarded: its holder would hear it by way of them.
     SilentToHolder,
+    /// A machine counts as idle though a task handed to its block may be on it, if the
+    /// leader planned that for another machine.
+    IdleAsPlanned,
     /// A machine counts as idle though it alone knows of ends besides its holder.
     IdleWithNews,
     /// No report is forwarded to another controller.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,11 +1,7 @@
 //! The fleet follows the queue: the leader rents what waiting work needs and
 //! returns what stands idle, fails, never boots or is gone.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use oliveshift_policy::{
     fleet::{Offer, Stock, Want, suits, to_rent},
@@ -330,6 +326,35 @@
         wants.any(|w| w.tasks > 0 && fits(&w.need, total) && suits(w, &offer))
     }
 
+    /// Whether a task that is handed to a machine's block and that its holder has not told
+    /// the place of may be on it: the holder puts it where it fits best, wherever it was
+    /// planned for.
+    fn may_have_task(&self, name: &str) -> bool {
+        let Some(leader) = &self.leader else {
+            return false;
+        };
+        let Some(room) = leader.rooms.get(name) else {
+            return false;
+        };
+        leader.planned.iter().any(|(task, planned_for)| {
+            #[cfg(feature = "sabotage")]
+            if self.sabotage == Some(crate::Sabotage::IdleAsPlanned) {
+                return planned_for == name;
+            }
+            let same_block = leader
+                .rooms
+                .get(planned_for)
+                .is_none_or(|planned| planned.block == room.block);
+            let spec = self.view.spec(&task.job);
+            let fits_there = spec.is_some_and(|spec| {
+                fits(&spec.amounts(), &room.free)
+                    && spec.allows_type(&room.kind)
+                    && (spec.spot || !room.spot)
+            });
+            planned_for == name || (same_block && fits_there)
+        })
+    }
+
     fn usable_rooms(&self) -> impl Iterator<Item = &Room> {
         let rooms = self.leader.iter().flat_map(|l| &l.rooms.list);
         rooms.filter(|r| r.usable && !r.closed)
@@ -583,18 +608,13 @@
         // needed the more for it.
         idle.sort();
         let reserve = self.reserve();
-        let planned: BTreeSet<_> = self
-            .leader
-            .iter()
-            .flat_map(|l| l.planned.values())
-            .collect();
         let most = idle.len() / IDLE_SHARE + 1;
         let mut spare: Vec<String> = Vec::new();
         for (_, name) in idle.into_iter().rev() {
             if spare.len() >= most {
                 break;
             }
-            if planned.contains(&name) {
+            if self.may_have_task(&name) {
                 continue;
             }
             spare.push(name);
--- a/crates/core/src/rooms.rs
+++ b/crates/core/src/rooms.rs
@@ -119,6 +119,11 @@
         self.search(name).ok()
     }
 
+    /// A machine by its name.
+    pub fn get(&self, name: &str) -> Option<&Room> {
+        self.find(name).map(|at| &self.list[at])
+    }
+
     fn search(&self, name: &str) -> Result<usize, usize> {
         self.list.binary_search_by(|r| r.name.as_str().cmp(name))
     }
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -601,6 +601,15 @@
     );
 }
 
+/// A task was lost with a machine that was returned as idle: the leader had planned it for
+/// another one, and its holder had put it there a moment before.
+#[test]
+fn a_machine_that_may_have_a_task_is_not_idle() {
+    let lost = |sabotage| day(252, long_cuts(252), sabotage).lost;
+    assert_eq!(lost(None), 0);
+    assert!(lost(Some(Sabotage::IdleAsPlanned)) > 0);
+}
+
 /// Whoever should forward can't reach the holder, ends while it awaits the answer, or is of
 /// a program that knows no such message.
 #[test]
