core::reach: when a machine came to peers is looked up, not searched for

placement::usable asks for each machine when it came to another controller, and each time all strays that peers told of were searched. They are kept by machine now and brought up to date when a peer's word comes or expires.

--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -168,6 +168,8 @@
     lost_unheard: BTreeMap<BlockId, Duration>,
     zones: BTreeMap<String, UnreachedZone>,
     words: BTreeMap<String, (Duration, ReachWord)>,
+    /// When the strays that they tell of came last, by machine.
+    came_to_peers: BTreeMap<String, Duration>,
     /// Zones that a peer said last it does not reach, with its incarnation. This
     /// outlasts the word, as a peer that is cut off further can't say it again.
     unreached: BTreeMap<String, (Duration, u64, Vec<String>)>,
@@ -200,6 +202,7 @@
             lost_unheard: BTreeMap::new(),
             zones: BTreeMap::new(),
             words: BTreeMap::new(),
+            came_to_peers: BTreeMap::new(),
             unreached: BTreeMap::new(),
             waiting: Vec::new(),
             looked_at: Duration::ZERO,
@@ -434,7 +437,11 @@
             unreached.is_out() || alone
         });
         self.strays.retain(|_, s| now <= s.at + STRAY_LIFETIME);
+        let words = self.words.len();
         self.words.retain(|_, (at, _)| now < *at + WORD_LIFETIME);
+        if self.words.len() < words {
+            self.index_peers_strays();
+        }
         self.unreached
             .retain(|_, (at, ..)| now < *at + UNREACHED_LIFETIME);
         let forgotten = BACKOFF * 2u32.pow(MOST_DOUBLINGS);
@@ -501,6 +508,7 @@
             self.unreached.insert(from.clone(), said);
         }
         self.words.insert(from, (now, word));
+        self.index_peers_strays();
     }
 
     /// What a process from before said is about links of before. `alive` tells
@@ -648,11 +656,20 @@
     pub fn strayed_at(&self, now: Duration, machine: &str) -> Option<Duration> {
         let ours = self.strays.get(machine).map(|s| s.at);
         let ours = ours.filter(|at| now <= *at + STRAY_LIFETIME);
-        let told = self.words.values().flat_map(|(at, word)| {
-            let here = word.strays.iter().filter(|s| s.machine == machine);
-            here.map(|s| at.saturating_sub(Duration::from_millis(s.ago_ms)))
-        });
-        told.chain(ours).max()
+        ours.max(self.came_to_peers.get(machine).copied())
+    }
+
+    /// Notes which strays the words of peers tell of, and when these came last.
+    fn index_peers_strays(&mut self) {
+        self.came_to_peers.clear();
+        for (at, word) in self.words.values() {
+            for stray in &word.strays {
+                let came = at.saturating_sub(Duration::from_millis(stray.ago_ms));
+                let last = self.came_to_peers.entry(stray.machine.clone());
+                let last = last.or_insert(came);
+                *last = came.max(*last);
+            }
+        }
     }
 
     /// The leader's question: which blocks have a holder that their workers do
