core::unplaced: what a holder may have put where is gathered once a look

For each idle machine all tasks that are not placed yet were looked through, which at thousands of machines is work on a hot path. They are gathered by block and job once, in a module of their own.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -326,35 +326,6 @@
         wants.any(|w| w.tasks > 0 && fits(&w.need, total) && suits(w, &offer))
     }
 
-    /// Whether a task that is handed to a machine's block and that its holder has not told
-    /// the place of may be on it: the holder puts it where it fits best, wherever it was
-    /// planned for.
-    fn may_have_task(&self, name: &str) -> bool {
-        let Some(leader) = &self.leader else {
-            return false;
-        };
-        let Some(room) = leader.rooms.get(name) else {
-            return false;
-        };
-        leader.planned.iter().any(|(task, planned_for)| {
-            #[cfg(feature = "sabotage")]
-            if self.sabotage == Some(crate::Sabotage::IdleAsPlanned) {
-                return planned_for == name;
-            }
-            let same_block = leader
-                .rooms
-                .get(planned_for)
-                .is_none_or(|planned| planned.block == room.block);
-            let spec = self.view.spec(&task.job);
-            let fits_there = spec.is_some_and(|spec| {
-                fits(&spec.amounts(), &room.free)
-                    && spec.allows_type(&room.kind)
-                    && (spec.spot || !room.spot)
-            });
-            planned_for == name || (same_block && fits_there)
-        })
-    }
-
     fn usable_rooms(&self) -> impl Iterator<Item = &Room> {
         let rooms = self.leader.iter().flat_map(|l| &l.rooms.list);
         rooms.filter(|r| r.usable && !r.closed)
@@ -608,13 +579,15 @@
         // needed the more for it.
         idle.sort();
         let reserve = self.reserve();
+        let unplaced = self.unplaced();
         let most = idle.len() / IDLE_SHARE + 1;
         let mut spare: Vec<String> = Vec::new();
         for (_, name) in idle.into_iter().rev() {
             if spare.len() >= most {
                 break;
             }
-            if self.may_have_task(&name) {
+            let room = self.leader.as_ref().and_then(|l| l.rooms.get(&name));
+            if room.is_some_and(|room| unplaced.may_be_on(room)) {
                 continue;
             }
             spare.push(name);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 mod store;
 mod team_use;
 pub mod tuning;
+mod unplaced;
 mod upgrade;
 mod usage;
 mod user_writes;
--- /dev/null
+++ b/crates/core/src/unplaced.rs
@@ -0,0 +1,58 @@
+//! Tasks that are handed out and that their holders have not told the place of.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+use oliveshift_policy::score::fits;
+use oliveshift_wire::{JobId, job::JobSpec};
+
+use crate::{controller::Controller, records::BlockId, rooms::Room};
+
+/// Where such tasks may be: a holder puts a task on whichever machine of the block it fits
+/// best, wherever the leader has planned it for.
+#[derive(Debug, Default)]
+pub(crate) struct UnplacedTasks {
+    /// The machines that they were planned for.
+    machines: BTreeSet<String>,
+    /// Their jobs, by the block that they were handed to.
+    jobs: BTreeMap<BlockId, BTreeMap<JobId, Rc<JobSpec>>>,
+}
+
+impl UnplacedTasks {
+    /// Whether one of them may be on a machine.
+    pub fn may_be_on(&self, room: &Room) -> bool {
+        let jobs = self.jobs.get(&room.block).into_iter().flatten();
+        let mut specs = jobs.map(|(_, spec)| spec);
+        self.machines.contains(&room.name)
+            || specs.any(|spec| {
+                fits(&spec.amounts(), &room.free)
+                    && spec.allows_type(&room.kind)
+                    && (spec.spot || !room.spot)
+            })
+    }
+}
+
+impl Controller {
+    /// What the leader has handed out and not seen placed.
+    pub(crate) fn unplaced(&self) -> UnplacedTasks {
+        let mut unplaced = UnplacedTasks::default();
+        let Some(leader) = &self.leader else {
+            return unplaced;
+        };
+        for (task, machine) in &leader.planned {
+            unplaced.machines.insert(machine.clone());
+            #[cfg(feature = "sabotage")]
+            if self.sabotage == Some(crate::Sabotage::IdleAsPlanned) {
+                continue;
+            }
+            let room = leader.rooms.get(machine);
+            if let (Some(room), Some(spec)) = (room, self.view.spec(&task.job)) {
+                let jobs = unplaced.jobs.entry(room.block).or_default();
+                jobs.insert(task.job.clone(), spec.clone());
+            }
+        }
+        unplaced
+    }
+}
