--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -29,7 +29,7 @@
 };
 
 use crate::{
-    call::{Answer, ConnId, Method, Reply, Target},
+    call::{Answer, ConnId, Reply},
     controller::{Controller, Pending},
     reach::Advice,
     records::{BlockId, Level, Term},
@@ -42,8 +42,6 @@
 /// has to write a record first. Twice as long is less than the worker waits.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(800);
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1300);
-/// When to give up a question whether a worker can be reached.
-const INSPECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// The forwarded reports of a controller, both ways.
 #[derive(Debug, Default)]
@@ -264,13 +262,7 @@
     /// Asks workers that report by way of peers whether they can be reached directly.
     pub(crate) fn ask_remote_workers(&mut self) {
         for machine in self.forwarding.inbox.due_for_question(self.now) {
-            let Some(record) = self.view.machines.get(&machine) else {
-                continue;
-            };
-            let (to, zone) = (Target::Worker(record.addr.clone()), record.zone.clone());
-            let pending = Pending::Inspect { zone, machine };
-            let path = "/inspect".to_owned();
-            self.call(to, Method::Get, path, Vec::new(), INSPECT_TIMEOUT, pending);
+            self.inspect(machine);
         }
     }
 }
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -145,13 +145,7 @@
         let ask = self.reach.questions(now, of_zone, |n| rng.usize(0..n));
         let ask: Vec<_> = ask.into_iter().map(str::to_owned).collect();
         for machine in ask {
-            let Some(record) = self.view.machines.get(&machine) else {
-                continue;
-            };
-            let (to, zone) = (Target::Worker(record.addr.clone()), record.zone.clone());
-            let pending = Pending::Inspect { zone, machine };
-            let path = "/inspect".to_owned();
-            self.call(to, Method::Get, path, Vec::new(), INSPECT_TIMEOUT, pending);
+            self.inspect(machine);
         }
         if self.level() < Level::PIPELINES {
             return;
@@ -227,6 +221,17 @@
         self.answer(conn, 200, Vec::new());
     }
 
+    /// Asks a machine's worker whether we can reach it.
+    pub(crate) fn inspect(&mut self, machine: String) {
+        let Some(record) = self.view.machines.get(&machine) else {
+            return;
+        };
+        let (to, zone) = (Target::Worker(record.addr.clone()), record.zone.clone());
+        let pending = Pending::Inspect { zone, machine };
+        let path = "/inspect".to_owned();
+        self.call(to, Method::Get, path, Vec::new(), INSPECT_TIMEOUT, pending);
+    }
+
     /// What came of a question to a machine.
     pub(crate) fn inspected(&mut self, zone: &str, machine: &str, reply: &Reply) {
         if matches!(reply, Reply::Answer { status: 200, .. }) {
