Workflows' loopback test: a submission that is not accepted names its status, answer and log

Now the instance writes its log to a file, and the panic shows all three. It also asks for status 200, which only one of the three tests did.

--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -4,10 +4,11 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    fs::File,
     io::{Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     rc::Rc,
     sync::{
         Arc, Mutex,
@@ -399,6 +400,21 @@
     child: Child,
     addr: SocketAddr,
     config: PathBuf,
+    log: PathBuf,
+}
+
+impl Instance {
+    /// Hands an example in; panics with the answer and the instance's log unless
+    /// it is accepted.
+    fn begin(&self, example: &str) -> String {
+        let (status, answer) = submit(self.addr, example, None);
+        let run = answer["run_id"].as_str().filter(|_| status == 200);
+        let run = run.unwrap_or_else(|| {
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            panic!("{example} is not accepted: status {status}, {answer}; the log:\n{log}")
+        });
+        run.to_owned()
+    }
 }
 
 impl Drop for Instance {
@@ -406,6 +422,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
@@ -425,6 +442,7 @@
     let addr = listener.local_addr().expect("its address");
     drop(listener);
     let config = outside.objects.join(format!("{name}.toml"));
+    let log = outside.objects.join(format!("{name}.log"));
     let text = format!(
         "name = \"wf-0\"\nlisten = \"{addr}\"\nstate = \"{}\"\nusers = [\"{}\"]\nobjects = \"{}\"\n\
          defaults = {{ team = \"partners\", class = \"cwl\" }}\n\
@@ -437,13 +455,14 @@
     let child = Command::new(PROGRAM)
         .args(["workflows", "--config"])
         .arg(&config)
-        .stderr(Stdio::null())
+        .stderr(File::create(&log).expect("a file"))
         .spawn()
         .expect("the program runs");
     let instance = Instance {
         child,
         addr,
         config,
+        log,
     };
     for _ in 0..600 {
         if TcpStream::connect(addr).is_ok() {
@@ -549,9 +568,7 @@
 fn a_run_survives_its_instance() {
     let outside = outside("survives", None);
     let first = instance(&outside, "first");
-    let (status, answer) = submit(first.addr, "waveform-to-catalog", None);
-    assert_eq!(status, 200, "{answer}");
-    let run = answer["run_id"].as_str().expect("a run").to_owned();
+    let run = first.begin("waveform-to-catalog");
     assert_eq!(state_of(first.addr, &run), "RUNNING");
     // Until some of it has been submitted.
     for _ in 0..200 {
@@ -596,10 +613,7 @@
 fn controllers_run_the_examples() {
     let outside = outside_of("controllers", None, true);
     let wf = instance(&outside, "one");
-    let runs = ["waveform-to-catalog", "sheet-to-portal"].map(|example| {
-        let (_, run) = submit(wf.addr, example, None);
-        run["run_id"].as_str().expect("a run").to_owned()
-    });
+    let runs = ["waveform-to-catalog", "sheet-to-portal"].map(|example| wf.begin(example));
     for run in &runs {
         let end = end_of(wf.addr, run);
         assert_eq!(
@@ -653,10 +667,8 @@
 fn runs_that_fail_are_cancelled_or_refused() {
     let outside = outside("fails", Some("taxon-match"));
     let wf = instance(&outside, "one");
-    let (_, run) = submit(wf.addr, "sheet-to-portal", None);
-    let run = run["run_id"].as_str().expect("a run").to_owned();
-    let (_, other) = submit(wf.addr, "waveform-to-catalog", None);
-    let other = other["run_id"].as_str().expect("a run").to_owned();
+    let run = wf.begin("sheet-to-portal");
+    let other = wf.begin("waveform-to-catalog");
     let (status, _) = http(
         wf.addr,
         "POST",
