core::starvation: a turn goes on while its team's limit has no room for the task

Cause: a turn ended after 3 s whatever it waited for. Room was not what was missing, as the account had it: a large machine was idle for most of the time.

Why this works: the bound of 3 s is for jobs that no machine fits. A turn that waits for the limit keeps what gets free of it, so its wait ends when tasks end; 30 s bound it. The guard only orders. Switch ShortTurns, caught by turns_that_do_not_wait_for_the_limit_are_noticed.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -144,6 +144,8 @@
     /// Of the jobs that it goes for, the oldest is the first, also right after it had a
     /// task.
     TurnsByAge,
+    /// Turns of starved jobs end although their teams' limits had no room for them.
+    ShortTurns,
     /// A machine that its holder does not hear is returned early, though it came to
     /// others, and no report is forwarded: its holder would hear it by way of them.
     SilentToHolder,
--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -256,6 +256,7 @@
             id: queued.id.clone(),
             team: queued.spec.team.clone(),
             waited_s: queued.waited_s,
+            task_cpus: queued.spec.cpus,
             task_work: queued.spec.cpus * queued.length_s,
             team_used: used.get(&queued.spec.team).map_or(0.0, |u| u.cpus),
             team_limit: queued.limit_cpus,
--- a/crates/core/src/starvation.rs
+++ b/crates/core/src/starvation.rs
@@ -26,8 +26,12 @@
 const SHARE: f64 = 0.06;
 /// A team's unused share is saved up for so long.
 const SAVED_S: f64 = 1.0;
-/// How long a turn lasts at most: there may be no machine that fits.
+/// How long a turn lasts while the limit has room for its task: there may be no
+/// machine that fits.
 const TURN: Duration = Duration::from_secs(3);
+/// How long a turn lasts at most, with the time in which it waits for its team's
+/// limit to have room.
+const LONGEST_TURN: Duration = Duration::from_secs(30);
 
 /// A waiting job that may be starved.
 #[derive(Clone, Debug)]
@@ -38,7 +42,9 @@
     pub team: String,
     /// For how long it could have been started, in seconds.
     pub waited_s: f64,
-    /// What one of its tasks takes, in processor seconds.
+    /// What one of its tasks takes, in processors.
+    pub task_cpus: f64,
+    /// The same, in processor seconds.
     pub task_work: f64,
     /// What the team uses, in processors.
     pub team_used: f64,
@@ -51,6 +57,11 @@
     fn is_held_back(&self) -> bool {
         self.team_limit > 0.0 && self.team_used >= NEAR_LIMIT * self.team_limit
     }
+
+    /// Whether its team may not use as much more as one of its tasks takes.
+    fn waits_for_limit(&self) -> bool {
+        self.team_used + self.task_cpus > self.team_limit
+    }
 }
 
 /// A job that has been without a task for too long.
@@ -103,6 +114,22 @@
 struct Turn {
     task_work: f64,
     until: Duration,
+    at_most_until: Duration,
+}
+
+impl Turn {
+    fn new(now: Duration, task_work: f64) -> Self {
+        Self {
+            task_work,
+            until: now + TURN,
+            at_most_until: now + LONGEST_TURN,
+        }
+    }
+
+    /// Time has passed in which the team's limit had no room for the task.
+    fn extend(&mut self, passed: Duration) {
+        self.until = (self.until + passed).min(self.at_most_until);
+    }
 }
 
 /// What a team's starved jobs may have.
@@ -171,8 +198,14 @@
         if self.sabotage == Some(crate::Sabotage::NoStarvationGuard) {
             return BTreeSet::new();
         }
-        let passed_s = now.saturating_sub(self.at).as_secs_f64();
+        let passed = now.saturating_sub(self.at);
         self.at = now;
+        let waited = passed;
+        #[cfg(feature = "sabotage")]
+        let waited = match self.sabotage {
+            Some(crate::Sabotage::ShortTurns) => Duration::ZERO,
+            _ => waited,
+        };
         let mut starved: BTreeMap<String, Vec<Starved>> = BTreeMap::new();
         for candidate in waiting {
             if self.is_starved(now, &candidate) {
@@ -189,8 +222,9 @@
         }
         for (team, account) in &mut self.accounts {
             let jobs = starved.get(team).map_or(&[][..], Vec::as_slice);
+            account.extend_turns(waited, jobs);
             account.end_turns(now, &self.had);
-            account.give_turns(now, passed_s, jobs);
+            account.give_turns(now, passed.as_secs_f64(), jobs);
         }
         self.accounts
             .retain(|team, account| starved.contains_key(team) || account.is_in_use());
@@ -205,6 +239,17 @@
         self.credit < 0.0 || !self.turns.is_empty()
     }
 
+    /// Extends the turns that wait for the team's limit. In the time of a turn often
+    /// nothing of a team ends whose tasks are long, and seldom enough for a wide task.
+    fn extend_turns(&mut self, passed: Duration, jobs: &[Starved]) {
+        let waiting = jobs.iter().map(|job| &job.candidate);
+        for candidate in waiting.filter(|candidate| candidate.waits_for_limit()) {
+            if let Some(turn) = self.turns.get_mut(&candidate.id) {
+                turn.extend(passed);
+            }
+        }
+    }
+
     /// Ends the turns that have been used, and those whose time is over, which cost
     /// nothing.
     fn end_turns(&mut self, now: Duration, had: &BTreeMap<JobId, Had>) {
@@ -252,10 +297,7 @@
                 job.without_task_s
             );
             self.credit -= job.candidate.task_work;
-            let turn = Turn {
-                task_work: job.candidate.task_work,
-                until: now + TURN,
-            };
+            let turn = Turn::new(now, job.candidate.task_work);
             self.turns.insert(job.candidate.id.clone(), turn);
         }
     }
--- a/crates/core/src/starvation/tests.rs
+++ b/crates/core/src/starvation/tests.rs
@@ -5,6 +5,7 @@
         id: id.parse().expect("an id"),
         team: "red".into(),
         waited_s,
+        task_cpus: 1.0,
         task_work: 20.0,
         team_used,
         team_limit: 100.0,
@@ -100,6 +101,42 @@
     assert_eq!(ids(starvation.turns(ms(13_100), one())), ["j-1"], "unpaid");
 }
 
+/// For how long a wide job is the one with a turn, of two for which the limit has no
+/// room. The task of one turn is more than a minute of the share.
+fn turn_beside_a_full_limit(mut starvation: Starvation) -> Duration {
+    let wide = |id: &str, waited_s: f64| Candidate {
+        task_cpus: 8.0,
+        task_work: 600.0,
+        ..candidate(id, waited_s, 99.0)
+    };
+    let begun = Duration::from_secs(10);
+    let looks = (0..1_000).map(|i| begun + Duration::from_millis(100) * i);
+    let mut turns = looks.map(|now| {
+        let waiting = vec![wide("j-1", 90.0), wide("j-2", 80.0)];
+        (now, ids(starvation.turns(now, waiting)))
+    });
+    let other = turns.find(|(_, turns)| *turns != ["j-1"]);
+    other.map_or(Duration::ZERO, |(now, _)| now - begun)
+}
+
+/// A team whose tasks are long had none that ended within a turn, or too few for a wide
+/// task, so that turn after turn was lost.
+#[test]
+fn a_turn_waits_for_its_teams_limit() {
+    let turn = turn_beside_a_full_limit(Starvation::default());
+    assert_eq!(turn, LONGEST_TURN);
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn turns_that_do_not_wait_for_the_limit_are_noticed() {
+    let broken = Starvation {
+        sabotage: Some(crate::Sabotage::ShortTurns),
+        ..Starvation::default()
+    };
+    assert_eq!(turn_beside_a_full_limit(broken), TURN);
+}
+
 /// No machine fits its tasks: the others of its team waited for as long as it did.
 #[test]
 fn a_turn_that_can_not_be_used_goes_to_the_next() {
