policy::triage: one check for starts that come too late, and one drawn job in its tests

Moore's and Hodgson's part and Smith's rule compared with the same margin and rounding in a line of their own each; Load::is_too_late serves both. The two tests of optimal orders drew the same job; draw_aimed does, with the same draws. Behaviour, assertions and bounds are as they were: the orders are still the plain model's.

--- a/crates/policy/src/triage.rs
+++ b/crates/policy/src/triage.rs
@@ -24,6 +24,8 @@
 /// reckoned: a job that is served just in time is late if anything goes wrong,
 /// and has taken the room of one that would not have been.
 const MARGIN: f64 = 1.2;
+/// What sums of floating-point numbers may be off by, in seconds.
+const ROUNDING_S: f64 = 1e-6;
 
 /// Something that jobs share and that can run out: the machines that they fit
 /// on, or what their team may use.
@@ -116,6 +118,11 @@
         }
         self.work * (1.0 - line.free / self.width)
     }
+
+    /// Whether the last of it starts too late for an aim.
+    fn is_too_late(&self, line: &Line, latest_s: f64) -> bool {
+        self.last_start_s(line) * MARGIN > latest_s + ROUNDING_S
+    }
 }
 
 /// A job that may still be taken out again, the largest first.
@@ -247,8 +254,7 @@
         };
         while !out.contains(at) {
             let mut mine = job.lines.iter().map(|(line, _)| *line);
-            let crowded =
-                mine.find(|l| loads[*l].last_start_s(&lines[*l]) * MARGIN > *latest + 1e-6);
+            let crowded = mine.find(|line| loads[*line].is_too_late(&lines[*line], *latest));
             let Some(line) = crowded else { break };
             let largest = std::iter::from_fn(|| chosen[line].pop());
             let largest = largest.map(|c| c.job).find(|j| !out.contains(j));
--- a/crates/policy/src/triage/backward.rs
+++ b/crates/policy/src/triage/backward.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BinaryHeap, HashMap, HashSet};
 
-use super::{Chosen, Line, Load, MARGIN, Waiting, take_out};
+use super::{Chosen, Line, Load, Waiting, take_out};
 
 /// Orders jobs that all keep their aim of a tier in the order of `kept`. `loads` holds
 /// them and all that goes before them. A job without an aim in this tier keeps its
@@ -96,10 +96,9 @@
 
     /// Finds the jobs of a line that would not be too late in it any more.
     fn look_at(&mut self, line: usize) {
-        let last_start_s = self.loads[line].last_start_s(&self.lines[line]) * MARGIN;
         while let Some(at) = self.too_late[line].last().copied() {
             let job = &self.jobs[at];
-            if last_start_s > job.latest_s[self.tier] + 1e-6 {
+            if self.loads[line].is_too_late(&self.lines[line], job.latest_s[self.tier]) {
                 return;
             }
             self.too_late[line].pop();
--- a/crates/testkit/tests/policy.rs
+++ b/crates/testkit/tests/policy.rs
@@ -321,6 +321,24 @@
     assert!(put_back > 600, "{put_back}");
 }
 
+/// A job of one kind of room with one aim, within so many seconds.
+fn draw_aimed(rng: &mut fastrand::Rng, within_s: f64) -> Waiting {
+    let latest = rng.f64() * within_s;
+    Waiting {
+        stratum: Stratum {
+            behind_production: true,
+            borrowed: true,
+            turn: Turn::None,
+            priority: Priority::High,
+        },
+        order_ms: (latest * 1e6) as u64,
+        latest_s: vec![latest],
+        begun: false,
+        lines: vec![(0, rng.f64() + 0.05)],
+        length_s: 30.0,
+    }
+}
+
 /// With one kind of room and one aim no order keeps the aim for more jobs.
 #[test]
 fn no_order_keeps_more_aims() {
@@ -328,24 +346,7 @@
     let mut dropped = 0;
     for _ in 0..300 {
         let count = rng.usize(3..9);
-        let jobs: Vec<_> = (0..count)
-            .map(|_| {
-                let latest = rng.f64() * 100.0;
-                Waiting {
-                    stratum: Stratum {
-                        behind_production: true,
-                        borrowed: true,
-                        turn: Turn::None,
-                        priority: Priority::High,
-                    },
-                    order_ms: (latest * 1e6) as u64,
-                    latest_s: vec![latest],
-                    begun: false,
-                    lines: vec![(0, rng.f64() + 0.05)],
-                    length_s: 30.0,
-                }
-            })
-            .collect();
+        let jobs: Vec<_> = (0..count).map(|_| draw_aimed(&mut rng, 100.0)).collect();
         // A set can be kept if it can by the order of the latest starts.
         let kept = |order: &mut dyn Iterator<Item = usize>| {
             let mut work = 0.0;
@@ -395,24 +396,7 @@
     let mut reordered = 0;
     while judged < 150 {
         let count = rng.usize(2..8);
-        let jobs: Vec<_> = (0..count)
-            .map(|_| {
-                let latest = rng.f64() * 150.0;
-                Waiting {
-                    stratum: Stratum {
-                        behind_production: true,
-                        borrowed: true,
-                        turn: Turn::None,
-                        priority: Priority::High,
-                    },
-                    order_ms: (latest * 1e6) as u64,
-                    latest_s: vec![latest],
-                    begun: false,
-                    lines: vec![(0, rng.f64() + 0.05)],
-                    length_s: 30.0,
-                }
-            })
-            .collect();
+        let jobs: Vec<_> = (0..count).map(|_| draw_aimed(&mut rng, 150.0)).collect();
         // The sum of ends, if all keep their aims.
         let sum_of_ends = |order: &[usize]| {
             let mut work = 0.0;
