--- a/crates/core/src/fixtures.rs
+++ b/crates/core/src/fixtures.rs
@@ -1,6 +1,65 @@
 //! What several unit tests begin with.
 
-use oliveshift_wire::job::{JobSpec, Priority, Shape};
+use oliveshift_wire::{
+    job::{JobSpec, Priority, Shape},
+    settings::Settings,
+    state::Event,
+};
+use rmpv::Value;
+
+use crate::{
+    controller::Controller,
+    records::{BlockRecord, Key, Level, ListedMachine, MachineList},
+};
+
+/// Controller n-0 of one zone, before it has read any record. `members` are the others,
+/// in the form of the settings.
+pub(crate) fn controller(members: &str) -> Controller {
+    let settings = format!(
+        r#"{{"member":"n-0","site":"a","bind":"10.0.0.1:80",
+        "internal_addr":"10.0.0.1:81","members":{members},
+        "outside":{{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"}},
+        "deployment":{{"zones":["a"],"teams":[],
+        "workers":{{"report_s":2,"lease_s":12,"cancel_s":30}},
+        "state":{{"rps":100,"write_rps":50,"value_kb":16,"txn_ops":20}},
+        "cloud":{{"rps":6,"list_lag_s":3}},"limits":{{"max_sockets":100}}}}}}"#
+    );
+    Controller::new(Settings::parse(&settings).expect("settings"), 1)
+}
+
+/// The record of a block that a controller holds.
+pub(crate) fn block_of(controller: &Controller) -> BlockRecord {
+    BlockRecord {
+        zone: "a".into(),
+        holder: "n-0".into(),
+        incarnation: controller.incarnation,
+    }
+}
+
+/// The record of a block's machines: vm-1 alone.
+pub(crate) fn machine_list() -> MachineList {
+    let machine = ListedMachine {
+        name: "vm-1".into(),
+        kind: "small".into(),
+        spot: false,
+        addr: "10.1.0.1:9000".into(),
+    };
+    MachineList::new(Level::FIRST, "a".into(), vec![machine])
+}
+
+/// Shows records to a controller, each with its version.
+pub(crate) fn show<const N: usize>(controller: &mut Controller, records: [(Key, Value, u64); N]) {
+    for (key, value, version) in records {
+        let key = key.path();
+        let put = Event::Put {
+            key,
+            value,
+            version,
+        };
+        let key = controller.view.apply(put).expect("news");
+        controller.changed(&key);
+    }
+}
 
 /// A job of one small task that may run anywhere.
 pub(crate) fn job_spec() -> JobSpec {
--- a/crates/core/src/forwarding/tests.rs
+++ b/crates/core/src/forwarding/tests.rs
@@ -1,15 +1,10 @@
 use oliveshift_wire::{
     peer::{ForwardedAnswer, ReportId},
-    settings::Settings,
-    state::Event,
     worker::ReportAnswer,
 };
 
 use super::{holder::Inbox, origin::*, *};
-use crate::{
-    call::Output,
-    records::{BlockRecord, Key, ListedMachine, MachineList},
-};
+use crate::{call::Output, fixtures, records::Key};
 
 /// The version of the record of the one block, which is its term.
 const TERM: Term = 9;
@@ -197,40 +192,15 @@
 
 /// Controller n-0 with a peer n-1; it holds block 0 with vm-1 and has contact.
 fn holder() -> Controller {
-    let settings = r#"{"member":"n-0","site":"a","bind":"10.0.0.1:80",
-        "internal_addr":"10.0.0.1:81",
-        "members":[{"member":"n-1","site":"a","endpoint":"10.0.0.2:81"}],
-        "outside":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
-        "deployment":{"zones":["a"],"teams":[],
-        "workers":{"report_s":2,"lease_s":12,"cancel_s":30},
-        "state":{"rps":100,"write_rps":50,"value_kb":16,"txn_ops":20},
-        "cloud":{"rps":6,"list_lag_s":3},"limits":{"max_sockets":100}}}"#;
-    let mut controller = Controller::new(Settings::parse(settings).expect("settings"), 1);
-    let block = BlockRecord {
-        zone: "a".into(),
-        holder: "n-0".into(),
-        incarnation: controller.incarnation,
-    };
-    let machine = ListedMachine {
-        name: "vm-1".into(),
-        kind: "small".into(),
-        spot: false,
-        addr: "10.1.0.1:9000".into(),
-    };
-    let list = MachineList::new(Level::FIRST, "a".into(), vec![machine]);
+    let members = r#"[{"member":"n-1","site":"a","endpoint":"10.0.0.2:81"}]"#;
+    let mut controller = fixtures::controller(members);
+    let block = fixtures::block_of(&controller);
+    let list = fixtures::machine_list();
     let records = [
         (Key::Machines(0, 0), list.to_value(), 5),
         (Key::Block(0), crate::records::to_list(&block), TERM),
     ];
-    for (key, value, version) in records {
-        let put = Event::Put {
-            key: key.path(),
-            value,
-            version,
-        };
-        let key = controller.view.apply(put).expect("news");
-        controller.changed(&key);
-    }
+    fixtures::show(&mut controller, records);
     controller.now = ms(1000);
     controller.store.ready = true;
     controller.store.contact = Some(ms(1000));
--- a/crates/core/src/slots/tests.rs
+++ b/crates/core/src/slots/tests.rs
@@ -1,13 +1,11 @@
-use oliveshift_wire::{settings::Settings, state::Event, worker::Report};
+use oliveshift_wire::worker::Report;
 
 use super::*;
 use crate::{
     controller::Input,
     controller::Now,
-    fixtures::job_spec,
-    records::{
-        BlockRecord, ChunkRecord, JobRecord, Key, Level, ListedMachine, MachineList, to_list,
-    },
+    fixtures::{self, job_spec},
+    records::{ChunkRecord, JobRecord, Key, Level, to_list},
 };
 
 #[test]
@@ -92,29 +90,12 @@
 #[test]
 fn an_old_report_that_comes_first_is_not_all_there_is() {
     let stands = |breaks: fn(&mut Controller)| {
-        let settings = r#"{"member":"n-0","site":"a","bind":"10.0.0.1:80",
-            "internal_addr":"10.0.0.1:81","members":[],
-            "outside":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
-            "deployment":{"zones":["a"],"teams":[],
-            "workers":{"report_s":2,"lease_s":12,"cancel_s":30},
-            "state":{"rps":100,"write_rps":50,"value_kb":16,"txn_ops":20},
-            "cloud":{"rps":6,"list_lag_s":3},"limits":{"max_sockets":100}}}"#;
-        let mut controller = Controller::new(Settings::parse(settings).expect("settings"), 1);
+        let mut controller = fixtures::controller("[]");
         breaks(&mut controller);
         let id: JobId = "j-1".parse().expect("an id");
         let spec = job_spec();
-        let block = BlockRecord {
-            zone: "a".into(),
-            holder: "n-0".into(),
-            incarnation: controller.incarnation,
-        };
-        let machine = ListedMachine {
-            name: "vm-1".into(),
-            kind: "small".into(),
-            spot: false,
-            addr: "10.1.0.1:9000".into(),
-        };
-        let list = MachineList::new(Level::FIRST, "a".into(), vec![machine]);
+        let block = fixtures::block_of(&controller);
+        let list = fixtures::machine_list();
         let job = JobRecord {
             phase: Phase::Open,
             tasks: 1,
@@ -134,16 +115,7 @@
             (Key::Chunk(id.clone(), 0), chunk.to_value(), 7),
             (Key::Block(0), to_list(&block), 9),
         ];
-        for (key, value, version) in records {
-            let key = key.path();
-            let put = Event::Put {
-                key,
-                value,
-                version,
-            };
-            let key = controller.view.apply(put).expect("news");
-            controller.changed(&key);
-        }
+        fixtures::show(&mut controller, records);
         let at = Duration::from_secs(1);
         let now = Now {
             steady: at,
