--- a/review/harness/src/bin/case-3.rs
+++ b/review/harness/src/bin/case-3.rs
@@ -1,4 +1,4 @@
-//! Case 3: one guest's large array of very small tasks stops all controllers.
+//! Case 3: one guest's large array, submitted with a mistake, stops all controllers.
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
@@ -48,7 +48,6 @@
     };
     let record = Record::create(record);
     let setup = Setup {
-        machines: 9,
         teams: vec![("portal", 32.0, 96.0), ("souss-seedbank", 0.0, 96.0)],
         ..Setup::default()
     };
@@ -80,11 +79,11 @@
         return ExitCode::from(2);
     }
     std::thread::sleep(Duration::from_secs(5));
-    // As many tasks as a job may have, each of which takes very little.
+    // Submitted with a mistake: its amounts were left at 0. As many tasks as a job may have.
     let sweep = JobSpec {
         tasks: 100_000,
-        cpus: 0.0001,
-        memory_gb: 0.0001,
+        cpus: 0.0,
+        memory_gb: 0.0,
         estimate_s: 60.0,
         ..job("j-000002", "germination-sweep", "souss-seedbank")
     };
