Submissions of runs are logged: received, recorded, refused, not answered in time

The log could not tell a submission that is recorded after its client was refused from one that is recorded twice, or from one run that two instances execute. It names the request and the run now.

--- a/crates/daemon/src/workflows/server.rs
+++ b/crates/daemon/src/workflows/server.rs
@@ -280,6 +280,7 @@
         self.handle_input(Input::UserRequest(asker, ask));
         let timed_out = async {
             Timer::after(ANSWER_TIMEOUT).await;
+            log::warn!("request {asker}: no answer within {ANSWER_TIMEOUT:?}, refused");
             Answer::RetryAfter(CALL_TIMEOUT)
         };
         let answer = async {
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -380,6 +380,7 @@
                     range,
                     number: self.rng.u64(..),
                 };
+                log::info!("{id}: submission received as request {request_id}");
                 self.begin_creation(unix_s, request_id, id, *bundle);
             }
             UserRequest::Status(id) => {
@@ -776,6 +777,7 @@
             StoreReply::Committed(_) => {
                 creating.txns.pop();
                 if creating.txns.is_empty() {
+                    log::info!("{id}: recorded for request {request_id}");
                     self.creating.remove(&id);
                     // The run is loaded from its records, as after a crash.
                     self.runs.insert(id, HeldRun::ToLoad(now));
@@ -786,7 +788,8 @@
             StoreReply::Refused => {}
             // If the run was recorded all the same, the next scan of its range finds it and it
             // is executed, although its id was not returned to the user.
-            _ => {
+            reply => {
+                log::info!("{id}: request {request_id} is refused: its write got {reply:?}");
                 self.creating.remove(&id);
                 let answer = Answer::RetryAfter(RETRY_AFTER);
                 self.outputs.push(Output::Answer(request_id, answer));
