A submission that is answered with 503 is not executed afterwards

Cause: the 20 s after which the server answers 503 were not known to the state machine, which went on recording the run; the client took 503 for 'not executed' and repeated.

Change: the state machine ends a creation after 14 s, sends nothing for it afterwards, and waits for the reply to a write in flight, so 503 is true. What is not known gets status 504 (Answer::OutcomeUnknown), as does a submission that meets the server's own limit.

--- a/crates/daemon/src/workflows/server.rs
+++ b/crates/daemon/src/workflows/server.rs
@@ -21,7 +21,10 @@
 use oliveshift_workflow::{
     api::{self, Reply},
     records::{Bundle, RunId, RunState, StoredRun},
-    service::{Answer, Input, MAX_BUNDLE_BYTES, Output, Service, UserRequest, UserRequestId},
+    service::{
+        ANSWER_TIMEOUT, Answer, Input, MAX_BUNDLE_BYTES, Output, Service, UserRequest,
+        UserRequestId,
+    },
 };
 use serde::Serialize;
 
@@ -33,14 +36,10 @@
 
 /// Interval of the ticks passed to the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of requests to the state service and the user API. Clients whose request was not
-/// answered are told to retry after the same time.
+/// Timeout of requests to the state service and the user API.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a client connection may be idle or take over one request, including the answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
-/// How long the state machine may take to answer a request; after that the client is told to
-/// retry later.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum number of client connections; further ones are closed.
 const MAX_CLIENT_CONNECTIONS: usize = 256;
 
@@ -276,20 +275,18 @@
         let asker = self.next_number.get();
         self.next_number.set(asker + 1);
         let (send, receive) = async_channel::bounded(1);
+        let answer_when_timed_out = ask.answer_when_timed_out();
         self.pending_answers.borrow_mut().insert(asker, send);
         self.handle_input(Input::UserRequest(asker, ask));
         let timed_out = async {
             Timer::after(ANSWER_TIMEOUT).await;
-            log::warn!("request {asker}: no answer within {ANSWER_TIMEOUT:?}, refused");
-            Answer::RetryAfter(CALL_TIMEOUT)
-        };
-        let answer = async {
-            let answer = receive.recv().await;
-            answer.unwrap_or(Answer::RetryAfter(CALL_TIMEOUT))
+            log::warn!("request {asker}: no answer within {ANSWER_TIMEOUT:?}");
+            None
         };
+        let answer = async { receive.recv().await.ok() };
         let answer = answer.or(timed_out).await;
         self.pending_answers.borrow_mut().remove(&asker);
-        answer
+        answer.unwrap_or(answer_when_timed_out)
     }
 
     async fn list_runs(self: &Rc<Self>, request: &Request) -> Response {
@@ -473,18 +470,24 @@
         Answer::Invalid(reason) => problem(400, &reason),
         Answer::Unknown => problem(404, "no such run"),
         Answer::RetryAfter(after) => {
-            let mut response = problem(
-                503,
-                "the service cannot process the request now; retry later",
-            );
-            let after = after.as_secs().max(1).to_string();
-            response.insert_header(headers::RETRY_AFTER, after);
-            response
+            let message = "the request was not executed; retry later";
+            problem_with_retry(503, message, after)
+        }
+        Answer::OutcomeUnknown(after) => {
+            let message = "the request may have been executed, or may still be";
+            problem_with_retry(504, message, after)
         }
         _ => problem(500, "internal error: the answer does not match the request"),
     }
 }
 
+fn problem_with_retry(status: u16, message: &str, after: Duration) -> Response {
+    let mut response = problem(status, message);
+    let seconds = after.as_secs().max(1).to_string();
+    response.insert_header(headers::RETRY_AFTER, seconds);
+    response
+}
+
 fn json<T: Serialize>(body: &T) -> Response {
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(serde_json::to_vec(body).unwrap_or_default());
--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -24,7 +24,10 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
-use support::{answer_store_call, example, task_result};
+use support::{
+    examples::{example, task_result},
+    store::answer_store_call,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- /dev/null
+++ b/crates/workflow/src/creation.rs
@@ -0,0 +1,125 @@
+//! A submitted run until its record is written.
+//!
+//! A run exists once its record is in the state service. The document and inputs are written
+//! before it, in pieces; the transaction with the record comes last. Nothing is sent once the
+//! submitter has been told that nothing was executed.
+
+use std::time::Duration;
+
+use oliveshift_wire::state::Txn;
+
+use crate::service::{Answer, RETRY_AFTER, StoreReply, UserRequestId};
+
+/// Time limit for recording a submitted run. Less than
+/// [`ANSWER_TIMEOUT`](crate::service::ANSWER_TIMEOUT), so that the submitter is answered from what
+/// is known of the write.
+pub(crate) const CREATION_TIMEOUT: Duration = Duration::from_secs(14);
+
+/// What follows from the reply to a write of a run that is being created.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CreationProgress {
+    /// A further write is needed, or the same one again.
+    Incomplete,
+    /// The run's record is written.
+    Recorded,
+    /// The write failed.
+    Failed,
+}
+
+/// A run whose first records are being written.
+#[derive(Debug)]
+pub(crate) struct RunCreation {
+    request_id: UserRequestId,
+    /// Version of the claim to the run's range that all writes are conditional on.
+    claim_version: u64,
+    /// Transactions still to be written, in reverse order; the first one holds the run's record.
+    txns: Vec<Txn>,
+    /// Nothing is sent after this time.
+    deadline: Duration,
+    in_flight: bool,
+}
+
+impl RunCreation {
+    /// A run that is recorded by these transactions, in this order, the last of which holds the
+    /// run's record.
+    pub fn new(
+        now: Duration,
+        request_id: UserRequestId,
+        claim_version: u64,
+        mut txns: Vec<Txn>,
+    ) -> Self {
+        txns.reverse();
+        Self {
+            request_id,
+            claim_version,
+            txns,
+            deadline: now + CREATION_TIMEOUT,
+            in_flight: false,
+        }
+    }
+
+    /// Request that submitted the run.
+    pub fn request_id(&self) -> UserRequestId {
+        self.request_id
+    }
+
+    /// Version of the claim that all writes are conditional on.
+    pub fn claim_version(&self) -> u64 {
+        self.claim_version
+    }
+
+    /// Time after which nothing is sent.
+    pub fn deadline(&self) -> Duration {
+        self.deadline
+    }
+
+    /// Whether the time for recording the run is over. The reply to a write in flight still counts.
+    pub fn is_expired(&self, now: Duration) -> bool {
+        now >= self.deadline
+    }
+
+    /// Whether a write is in flight.
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight
+    }
+
+    /// Next write; `None` if one is in flight.
+    pub fn next_txn(&mut self) -> Option<Txn> {
+        let next = self.txns.last().filter(|_| !self.in_flight)?;
+        self.in_flight = true;
+        Some(next.clone())
+    }
+
+    /// Applies the reply to the write in flight.
+    pub fn write_answered(&mut self, reply: &StoreReply) -> CreationProgress {
+        self.in_flight = false;
+        match reply {
+            StoreReply::Committed(_) => {
+                self.txns.pop();
+                match self.txns.is_empty() {
+                    true => CreationProgress::Recorded,
+                    false => CreationProgress::Incomplete,
+                }
+            }
+            StoreReply::Refused => CreationProgress::Incomplete,
+            _ => CreationProgress::Failed,
+        }
+    }
+
+    /// Whether the run may have been recorded, or may be later, by a write that was sent already.
+    pub fn may_be_recorded(&self) -> bool {
+        let sends_record = self.txns.len() == 1;
+        sends_record && self.in_flight
+    }
+
+    /// Answer to the submitter if the run is not recorded in time.
+    pub fn answer_when_abandoned(&self) -> Answer {
+        match self.may_be_recorded() {
+            true => Answer::OutcomeUnknown(RETRY_AFTER),
+            false => Answer::RetryAfter(RETRY_AFTER),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod active;
 pub mod api;
 mod budget;
+mod creation;
 mod documents;
 pub mod flow;
 pub mod job;
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -16,6 +16,7 @@
 use crate::{
     active::{self, ActiveRun, JobReply},
     budget::Budget,
+    creation::{CreationProgress, RunCreation},
     documents::DocumentCache,
     flow::JobKey,
     job::TaskResult,
@@ -38,7 +39,9 @@
 /// Interval between scans of a range for runs that this instance has not loaded.
 const RUN_SCAN_INTERVAL: Duration = Duration::from_secs(10);
 /// Retry delay given to users whose request cannot be handled now.
-const RETRY_AFTER: Duration = Duration::from_secs(5);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Time after which a request that is not answered gets [`UserRequest::answer_when_timed_out`].
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum size of a submitted document with its inputs, in bytes.
 pub const MAX_BUNDLE_BYTES: usize = 4 << 20;
 
@@ -120,6 +123,18 @@
     List(Option<String>),
 }
 
+impl UserRequest {
+    /// Answer to a request that is not answered within [`ANSWER_TIMEOUT`].
+    pub fn answer_when_timed_out(&self) -> Answer {
+        match self {
+            Self::Submit(_) => Answer::OutcomeUnknown(RETRY_AFTER),
+            Self::Status(_) | Self::Cancel(_) | Self::Log(_) | Self::List(_) => {
+                Answer::RetryAfter(RETRY_AFTER)
+            }
+        }
+    }
+}
+
 /// Answer to a request of a user.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -137,8 +152,11 @@
     Cancelling,
     /// The run does not exist.
     Unknown,
-    /// The request cannot be handled now; retry after this time.
+    /// The request was not executed and will not be; retry after this time.
     RetryAfter(Duration),
+    /// The request may have been executed, or may still be. Its outcome can be looked up after
+    /// this time.
+    OutcomeUnknown(Duration),
 }
 
 /// Input of an instance.
@@ -224,15 +242,6 @@
     Active(Box<ActiveRun>, u64),
 }
 
-/// A run whose first records are being written.
-#[derive(Debug)]
-struct RunCreation {
-    request_id: UserRequestId,
-    /// Transactions still to be written, in reverse order.
-    txns: Vec<Txn>,
-    in_flight: bool,
-}
-
 /// An instance of the workflow service, as a state machine without I/O.
 #[derive(Debug)]
 pub struct Service {
@@ -381,7 +390,7 @@
                     number: self.rng.u64(..),
                 };
                 log::info!("{id}: submission received as request {request_id}");
-                self.begin_creation(unix_s, request_id, id, *bundle);
+                self.begin_creation(now, unix_s, request_id, id, *bundle);
             }
             UserRequest::Status(id) => {
                 // Only recorded state is reported: unrecorded state is lost in a crash.
@@ -437,6 +446,7 @@
     /// inputs, then the run's record.
     fn begin_creation(
         &mut self,
+        now: Duration,
         unix_s: u64,
         request_id: UserRequestId,
         id: RunId,
@@ -474,29 +484,30 @@
             .enumerate()
             .map(|(i, text)| put_text(piece_key('t', id, i), text))
             .collect();
-        let max_txn_changes = self.max_txn_changes();
+        let mut fence = Vec::new();
+        let claim_version = self.ranges.version(id.range);
+        let Some(claim_version) = claim_version.filter(|_| self.add_fence(id.range, &mut fence))
+        else {
+            let answer = Answer::RetryAfter(RETRY_AFTER);
+            return self.outputs.push(Output::Answer(request_id, answer));
+        };
         let mut txns: Vec<Txn> = changes
-            .chunks(max_txn_changes)
+            .chunks(self.max_txn_changes())
             .map(|changes| Txn {
-                conds: Vec::new(),
+                conds: fence.clone(),
                 changes: changes.to_vec(),
             })
             .collect();
+        let absent = Cond {
+            key: run_key('r', id),
+            version: 0,
+        };
         txns.push(Txn {
-            conds: vec![Cond {
-                key: run_key('r', id),
-                version: 0,
-            }],
+            conds: [absent].into_iter().chain(fence).collect(),
             changes: vec![put_record(run_key('r', id), &record)],
         });
-        // Transactions are taken from the end of the list.
-        txns.reverse();
-        let creating = RunCreation {
-            request_id,
-            txns,
-            in_flight: false,
-        };
-        self.creating.insert(id, creating);
+        let creation = RunCreation::new(now, request_id, claim_version, txns);
+        self.creating.insert(id, creation);
     }
 
     /// Maximum number of changes per transaction. A transaction may take at most 64 KiB,
@@ -586,7 +597,7 @@
             },
             Pending::Load(id, stage) => self.load_answered(now, id, stage, reply),
             Pending::Write(id, rest) => self.run_write_answered(now, id, rest, reply),
-            Pending::Create(id) => self.creation_answered(now, id, reply),
+            Pending::Create(id) => self.creation_answered(now, id, &reply),
             Pending::Status(request_id, id) => {
                 let answer = match reply {
                     StoreReply::Page(items, _) => {
@@ -767,36 +778,46 @@
         }
     }
 
-    fn creation_answered(&mut self, now: Duration, id: RunId, reply: StoreReply) {
-        let Some(creating) = self.creating.get_mut(&id) else {
+    fn creation_answered(&mut self, now: Duration, id: RunId, reply: &StoreReply) {
+        let Some(creation) = self.creating.get_mut(&id) else {
             return;
         };
-        let request_id = creating.request_id;
-        creating.in_flight = false;
-        match reply {
-            StoreReply::Committed(_) => {
-                creating.txns.pop();
-                if creating.txns.is_empty() {
-                    log::info!("{id}: recorded for request {request_id}");
-                    self.creating.remove(&id);
-                    // The run is loaded from its records, as after a crash.
-                    self.runs.insert(id, HeldRun::ToLoad(now));
-                    self.outputs
-                        .push(Output::Answer(request_id, Answer::Started(id)));
-                }
-            }
-            StoreReply::Refused => {}
-            // If the run was recorded all the same, the next scan of its range finds it and it
-            // is executed, although its id was not returned to the user.
-            reply => {
-                log::info!("{id}: request {request_id} is refused: its write got {reply:?}");
+        match creation.write_answered(reply) {
+            CreationProgress::Incomplete => {}
+            CreationProgress::Recorded => {
+                let request_id = creation.request_id();
                 self.creating.remove(&id);
-                let answer = Answer::RetryAfter(RETRY_AFTER);
-                self.outputs.push(Output::Answer(request_id, answer));
+                self.run_recorded(now, id, request_id);
             }
+            CreationProgress::Failed => self.end_creation(id),
+        }
+    }
+
+    /// Answers a submission whose run is recorded.
+    fn run_recorded(&mut self, now: Duration, id: RunId, request_id: UserRequestId) {
+        log::info!("{id}: recorded for request {request_id}");
+        // The run is loaded from its records, as after a crash.
+        self.runs.entry(id).or_insert(HeldRun::ToLoad(now));
+        self.outputs
+            .push(Output::Answer(request_id, Answer::Started(id)));
+    }
+
+    /// Ends a creation that cannot go on.
+    fn end_creation(&mut self, id: RunId) {
+        if let Some(creation) = self.creating.remove(&id) {
+            self.abandon_creation(id, &creation);
         }
     }
 
+    /// Answers a submission whose run could not be recorded. If its record was written all the
+    /// same, the next scan of the range finds the run.
+    fn abandon_creation(&mut self, id: RunId, creation: &RunCreation) {
+        let request_id = creation.request_id();
+        let answer = creation.answer_when_abandoned();
+        log::warn!("{id}: not recorded for request {request_id}, answered {answer:?}");
+        self.outputs.push(Output::Answer(request_id, answer));
+    }
+
     /// Performs all due work within the request budgets.
     fn advance(&mut self, now: Duration, unix_s: u64) {
         let held: BTreeSet<u32> = self.ranges.held().collect();
@@ -854,30 +875,30 @@
     }
 
     fn advance_creations(&mut self, now: Duration) {
-        let ids: Vec<_> = self.creating.keys().copied().collect();
+        // Oldest first, so that as few as possible are given up with a part of their pieces written.
+        let mut ids: Vec<_> = self.creating.keys().copied().collect();
+        ids.sort_by_key(|id| self.creating.get(id).map(RunCreation::deadline));
         for id in ids {
-            let Some(creating) = self.creating.get_mut(&id) else {
+            let Some(creation) = self.creating.get_mut(&id) else {
                 continue;
             };
-            let Some(txn) = creating.txns.last() else {
+            if creation.is_expired(now) && !creation.is_in_flight() {
+                self.end_creation(id);
                 continue;
-            };
-            let within_budget = self.store_budget.available(now) > 0
-                && self.write_budget.available(now) >= txn.changes.len().min(8);
-            if creating.in_flight || !within_budget {
+            }
+            if creation.is_in_flight() {
                 continue;
             }
-            creating.in_flight = true;
-            let mut txn = txn.clone();
-            if !self.add_fence(id.range, &mut txn.conds) {
-                if let Some(creating) = self.creating.remove(&id) {
-                    let answer = Answer::RetryAfter(RETRY_AFTER);
-                    self.outputs
-                        .push(Output::Answer(creating.request_id, answer));
-                }
+            if self.ranges.version(id.range) != Some(creation.claim_version()) {
+                self.end_creation(id);
                 continue;
             }
-            self.call_store(Pending::Create(id), StoreCall::Txn(txn));
+            // Submitters wait, so their writes come before those of runs, on credit.
+            let within_budget =
+                self.store_budget.available(now) > 0 && self.write_budget.available(now) > 0;
+            if within_budget && let Some(txn) = creation.next_txn() {
+                self.call_store(Pending::Create(id), StoreCall::Txn(txn));
+            }
         }
     }
 
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -21,7 +21,10 @@
 
 mod support;
 
-use support::{answer_store_call, example, task_result};
+use support::{
+    examples::{example, task_result},
+    store::answer_store_call,
+};
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
--- a/crates/workflow/tests/sides.rs
+++ b/crates/workflow/tests/sides.rs
@@ -20,7 +20,10 @@
 
 mod support;
 
-use support::{answer_store_call, example, task_result};
+use support::{
+    examples::{example, task_result},
+    store::answer_store_call,
+};
 
 const S: Duration = Duration::from_secs(1);
 /// Times at which pipelines are submitted, in seconds.
