Tests of the workflow service wait for an answer of the instance, not for a connection

Cause: the test finds a free port by a listener that it drops. A process that another test is starting at that moment holds a copy of the listener until it executes its program. It accepts the connection by which the test takes the instance to be up; the instance cannot bind the port and tries again after 200 ms. The first request meets the old listener (no answer: status 0) or none.

No check is weaker: what is waited for is more.

A test that panics prints the log of its instance and whether it is still up.

--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -427,6 +427,11 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            let state = self.child.try_wait();
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("the instance at {}: {state:?}; its log:\n{log}", self.addr);
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
@@ -472,8 +477,14 @@
         config,
         log,
     };
+    // Only an answer shows that the instance listens: a process that another test is starting may
+    // hold a copy of the listener dropped above until it executes its program. It accepts
+    // connections that nobody answers, and the instance cannot bind the port yet.
     for _ in 0..600 {
-        if TcpStream::connect(addr).is_ok() {
+        if matches!(
+            try_http(addr, "GET", "/service-info", "text/plain", b""),
+            Ok((200, _))
+        ) {
             return instance;
         }
         std::thread::sleep(Duration::from_millis(20));
@@ -483,24 +494,33 @@
 
 /// Sends a request and returns the status and the JSON body of the answer.
 fn http(addr: SocketAddr, method: &str, path: &str, kind: &str, body: &[u8]) -> (u16, Value) {
-    let mut stream = TcpStream::connect(addr).expect("a connection");
+    try_http(addr, method, path, kind, body).expect("a connection")
+}
+
+/// Like [`http`]; an error if the request cannot be sent.
+fn try_http(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    kind: &str,
+    body: &[u8],
+) -> std::io::Result<(u16, Value)> {
+    let mut stream = TcpStream::connect(addr)?;
     let timeout = Some(Duration::from_secs(40));
-    stream.set_read_timeout(timeout).expect("a timeout");
+    stream.set_read_timeout(timeout)?;
     let head = format!(
         "{method} /ga4gh/wes/v1{path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-type: {kind}\r\n\
          content-length: {}\r\n\r\n",
         body.len()
     );
-    stream
-        .write_all(&[head.as_bytes(), body].concat())
-        .expect("sent");
+    stream.write_all(&[head.as_bytes(), body].concat())?;
     let mut bytes = Vec::new();
     let _ = stream.read_to_end(&mut bytes);
     let _ = stream.shutdown(Shutdown::Both);
     let text = String::from_utf8_lossy(&bytes);
     let status = text.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
     let json = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    (status, serde_json::from_str(json).unwrap_or_default())
+    Ok((status, serde_json::from_str(json).unwrap_or_default()))
 }
 
 fn get(addr: SocketAddr, path: &str) -> (u16, Value) {
