Repeats of a submission are recognized by an idempotency key

Callers saw: whoever got no answer to a submission (dropped connection, time limit, restart or change of the instance, a command that was killed) could not know whether the run was started; a repeat started a second one. The client ended with 'cannot be reached' after one lost answer and left the repeat to its user.

Cause: a submission had no name; only its answer tells the run's id.

Change: the header Idempotency-Key (RFC draft; POST /runs). The record of the key is written with the run's record, on the condition that there is none, so of all tries one records a run; the others answer with it. Other inputs under the same key get 422. The key goes with its run.

Libraries: sha2 (digest of what is submitted), uuid (random key).

--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -14,6 +14,7 @@
     headers::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
 };
 use oliveshift_core::{Call, Method, Reply, sockets::OutboundKind};
+use oliveshift_wire::{IdempotencyKey, idempotency_key::IDEMPOTENCY_KEY_HEADER};
 
 use crate::stream::Stream;
 
@@ -30,6 +31,15 @@
     since: Instant,
 }
 
+/// Headers of a request, apart from those of each request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestHeaders<'a> {
+    /// Type of the body.
+    pub content_type: Option<&'a str>,
+    /// Key by which the server recognizes a repeat of the request.
+    pub idempotency_key: Option<&'a IdempotencyKey>,
+}
+
 /// An HTTP client; holds its idle connections by address, the longest unused first.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -49,15 +59,16 @@
         addr: SocketAddr,
         call: &Call,
     ) -> (Reply, Option<Duration>) {
-        self.call_with_content_type(addr, call, None).await
+        self.call_with_headers(addr, call, RequestHeaders::default())
+            .await
     }
 
-    /// Like [`Self::call_with_retry_after`], with the content type of the body.
-    pub async fn call_with_content_type(
+    /// Like [`Self::call_with_retry_after`], with further headers.
+    pub async fn call_with_headers(
         &self,
         addr: SocketAddr,
         call: &Call,
-        content_type: Option<&str>,
+        headers: RequestHeaders<'_>,
     ) -> (Reply, Option<Duration>) {
         let started = Instant::now();
         let (stream, reused) = match self.take_idle(addr) {
@@ -69,7 +80,7 @@
         };
         let remaining = call.timeout.saturating_sub(started.elapsed());
         let exchange = async {
-            exchange(&stream, addr, call, content_type)
+            exchange(&stream, addr, call, headers)
                 .await
                 .unwrap_or_else(|e| {
                     log::debug!("{addr}{}: {e} (reused connection: {reused})", call.path);
@@ -186,7 +197,7 @@
     stream: &Stream,
     addr: SocketAddr,
     call: &Call,
-    content_type: Option<&str>,
+    headers: RequestHeaders<'_>,
 ) -> http_types::Result<ExchangeResult> {
     let url = Url::parse(&format!("http://{addr}{}", call.path))?;
     let method = match call.method {
@@ -197,9 +208,12 @@
     };
     let mut request = Request::new(method, url);
     request.set_body(call.body.as_slice());
-    if let Some(content_type) = content_type {
+    if let Some(content_type) = headers.content_type {
         request.insert_header(CONTENT_TYPE, content_type);
     }
+    if let Some(key) = headers.idempotency_key {
+        request.insert_header(IDEMPOTENCY_KEY_HEADER, key.to_string());
+    }
     let mut response = async_h1::client::connect(stream.clone(), request).await?;
     let close = response
         .header(CONNECTION)
--- a/crates/daemon/src/cwl.rs
+++ b/crates/daemon/src/cwl.rs
@@ -15,7 +15,7 @@
     document::Process,
     load::{self, Resolver},
 };
-use oliveshift_wire::wes::State;
+use oliveshift_wire::{IdempotencyKey, wes::State};
 use oliveshift_workflow::plan::{Plan, PlannedJob, plan};
 use termtree::Tree;
 use thiserror::Error;
@@ -57,6 +57,10 @@
         /// Only prints the run id and does not wait.
         #[arg(long)]
         detach: bool,
+        /// A key of 1 to 64 letters, digits, - or _ by which the service recognizes the
+        /// submission: however often it is submitted, one run is started [default: random].
+        #[arg(long, value_name = "KEY")]
+        idempotency_key: Option<IdempotencyKey>,
     },
     /// Lists all runs.
     Runs {
@@ -156,7 +160,8 @@
             inputs,
             at,
             detach,
-        } => submit(document, inputs, *at, *detach),
+            idempotency_key,
+        } => submit(document, inputs, *at, *detach, idempotency_key.clone()),
         Cwl::Runs { at, json } => list_runs(*at, *json),
         Cwl::Cancel { run, at } => WesClient(*at)
             .cancel(run)
@@ -226,13 +231,18 @@
     inputs: &Path,
     at: SocketAddrV4,
     detach: bool,
+    idempotency_key: Option<IdempotencyKey>,
 ) -> Result<String, CwlError> {
     let loaded = load_document(document)?;
     let inputs = read_inputs(inputs)?;
     // Invalid inputs are reported here rather than by a rejection from the service.
     plan(&loaded.process, &inputs).map_err(CwlError::Plan)?;
     let wes = WesClient(at);
-    let run = wes.submit(&loaded.main, &loaded.files, &inputs)?;
+    let random_key = || IdempotencyKey::from(uuid::Uuid::new_v4().as_u128());
+    let key = idempotency_key.unwrap_or_else(random_key);
+    // Printed before the first attempt, so that the command can be repeated if it is killed.
+    eprintln!("submitting with --idempotency-key {key}");
+    let run = wes.submit(&key, &loaded.main, &loaded.files, &inputs)?;
     if detach {
         return Ok(run);
     }
--- a/crates/daemon/src/wes.rs
+++ b/crates/daemon/src/wes.rs
@@ -4,16 +4,22 @@
 
 use async_io::block_on;
 use oliveshift_core::{Call, Method, Reply, Target};
-use oliveshift_wire::wes::{BASE_PATH, ErrorResponse, RunId, RunList, RunLog, RunSummary, State};
+use oliveshift_wire::{
+    IdempotencyKey,
+    wes::{BASE_PATH, ErrorResponse, RunId, RunList, RunLog, RunSummary, State},
+};
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::client::Client;
+use crate::client::{Client, RequestHeaders};
 
 /// How long the service may take to answer a request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
-/// Maximum number of attempts while the service answers with status 503.
+/// Maximum number of attempts while the service does not execute a request, or does not tell
+/// whether it did.
 const MAX_ATTEMPTS: u32 = 20;
+/// Delay before the next attempt.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// No further page is requested once this many runs are listed.
 const MAX_LISTED_RUNS: usize = 100_000;
 
@@ -26,6 +32,12 @@
     /// The service answered with status 503 at each attempt.
     #[error("{0} cannot process the request now (status 503); try again later")]
     Unavailable(SocketAddrV4),
+    /// The service or its answer was lost at some attempt, and no later one told the outcome.
+    #[error(
+        "{0} did not say whether the run was started; repeat the command with \
+         --idempotency-key {1} to learn it, or to start the run if it was not"
+    )]
+    OutcomeUnknown(SocketAddrV4, IdempotencyKey),
     /// The service rejected the request.
     #[error("{0} refuses: {1}")]
     Refused(SocketAddrV4, String),
@@ -38,7 +50,7 @@
     /// The exit code of the program.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Unreachable(_) | Self::Unavailable(_) => 4,
+            Self::Unreachable(_) | Self::Unavailable(_) | Self::OutcomeUnknown(..) => 4,
             Self::Refused(..) | Self::Unreadable(..) => 5,
         }
     }
@@ -55,57 +67,102 @@
     text.as_str().unwrap_or_default().to_owned()
 }
 
+/// Result of one attempt at a request.
+enum Attempt<T> {
+    /// The service executed the request.
+    Done(T),
+    /// No connection could be made.
+    NotSent,
+    /// The service did not execute the request and will not.
+    NotExecuted,
+    /// The service may have executed the request, or may still.
+    Unknown,
+}
+
 /// A client of the service at this address.
 #[derive(Clone, Copy, Debug)]
 pub struct WesClient(pub SocketAddrV4);
 
 impl WesClient {
-    fn request<T: DeserializeOwned>(
+    /// Sends a request once.
+    fn attempt<T: DeserializeOwned>(
         self,
-        method: Method,
-        path: &str,
-        content_type: Option<&str>,
-        body: Vec<u8>,
-    ) -> Result<T, WesError> {
-        let call = Call {
-            id: 0,
-            to: Target::Peer(String::new()),
-            method,
-            path: format!("{BASE_PATH}{path}"),
-            body,
-            timeout: ANSWER_TIMEOUT,
+        call: &Call,
+        headers: RequestHeaders<'_>,
+    ) -> Result<Attempt<T>, WesError> {
+        let client = Client::default();
+        let call = client.call_with_headers(self.0.into(), call, headers);
+        let (status, body) = match block_on(call).0 {
+            Reply::Answer { status, body } => (status, body),
+            Reply::NotSent => return Ok(Attempt::NotSent),
+            Reply::Lost => return Ok(Attempt::Unknown),
         };
+        match status {
+            200 => serde_json::from_slice(&body)
+                .map(Attempt::Done)
+                .map_err(|e| WesError::Unreadable(self.0, e)),
+            503 => Ok(Attempt::NotExecuted),
+            504 => Ok(Attempt::Unknown),
+            status => {
+                let problem = serde_json::from_slice::<ErrorResponse>(&body);
+                let reason = problem.map_or_else(|_| format!("status {status}"), |p| p.msg);
+                Err(WesError::Refused(self.0, reason))
+            }
+        }
+    }
+
+    /// Sends a request that changes nothing when it is repeated, until it is executed.
+    fn request<T: DeserializeOwned>(self, method: Method, path: &str) -> Result<T, WesError> {
+        let call = wes_call(method, path, Vec::new());
         for i in 0..MAX_ATTEMPTS {
             if i > 0 {
-                std::thread::sleep(Duration::from_secs(1));
+                std::thread::sleep(RETRY_INTERVAL);
             }
-            let client = Client::default();
-            let (status, body) =
-                match block_on(client.call_with_content_type(self.0.into(), &call, content_type)).0
-                {
-                    Reply::Answer { status, body } => (status, body),
-                    // The service may have executed the request; a retry could start a second run.
-                    Reply::NotSent | Reply::Lost => return Err(WesError::Unreachable(self.0)),
-                };
-            match status {
-                200 => {
-                    let parsed = serde_json::from_slice(&body);
-                    return parsed.map_err(|e| WesError::Unreadable(self.0, e));
-                }
-                503 => {}
-                status => {
-                    let problem = serde_json::from_slice::<ErrorResponse>(&body);
-                    let reason = problem.map_or_else(|_| format!("status {status}"), |p| p.msg);
-                    return Err(WesError::Refused(self.0, reason));
-                }
+            match self.attempt(&call, RequestHeaders::default())? {
+                Attempt::Done(answer) => return Ok(answer),
+                Attempt::NotSent | Attempt::Unknown => return Err(WesError::Unreachable(self.0)),
+                Attempt::NotExecuted => {}
             }
         }
         Err(WesError::Unavailable(self.0))
     }
 
-    /// Submits a document with its inputs and returns the run id.
+    /// Submits a run under a key until its outcome is known. The service recognizes each attempt
+    /// by the key, so a repeat after a lost answer does not start a second run.
+    fn submit_once(
+        self,
+        key: &IdempotencyKey,
+        content_type: &str,
+        body: Vec<u8>,
+    ) -> Result<RunId, WesError> {
+        let call = wes_call(Method::Post, "/runs", body);
+        let headers = RequestHeaders {
+            content_type: Some(content_type),
+            idempotency_key: Some(key),
+        };
+        let mut in_doubt = false;
+        for i in 0..MAX_ATTEMPTS {
+            if i > 0 {
+                std::thread::sleep(RETRY_INTERVAL);
+            }
+            match self.attempt(&call, headers)? {
+                Attempt::Done(run) => return Ok(run),
+                Attempt::NotSent if i == 0 => return Err(WesError::Unreachable(self.0)),
+                Attempt::NotSent | Attempt::NotExecuted => {}
+                Attempt::Unknown => in_doubt = true,
+            }
+        }
+        Err(match in_doubt {
+            true => WesError::OutcomeUnknown(self.0, key.clone()),
+            false => WesError::Unavailable(self.0),
+        })
+    }
+
+    /// Submits a document with its inputs and returns the run id. All submissions with the same
+    /// key start one run.
     pub fn submit(
         self,
+        key: &IdempotencyKey,
         main: &str,
         files: &BTreeMap<String, String>,
         inputs: &serde_json::Value,
@@ -134,24 +191,19 @@
         }
         body += &format!("--{boundary}--\r\n");
         let content_type = format!("multipart/form-data; boundary={boundary}");
-        let run: RunId = self.request(
-            Method::Post,
-            "/runs",
-            Some(&content_type),
-            body.into_bytes(),
-        )?;
+        let run = self.submit_once(key, &content_type, body.into_bytes())?;
         Ok(run.run_id)
     }
 
     /// Returns the full record of a run.
     pub fn log(self, run: &str) -> Result<RunLog, WesError> {
-        self.request(Method::Get, &format!("/runs/{run}"), None, Vec::new())
+        self.request(Method::Get, &format!("/runs/{run}"))
     }
 
     /// Requests the cancellation of a run.
     pub fn cancel(self, run: &str) -> Result<(), WesError> {
         let path = format!("/runs/{run}/cancel");
-        let done: Result<RunId, _> = self.request(Method::Post, &path, None, Vec::new());
+        let done: Result<RunId, _> = self.request(Method::Post, &path);
         done.map(|_| ())
     }
 
@@ -164,7 +216,7 @@
                 "" => "/runs".to_owned(),
                 token => format!("/runs?page_token={token}"),
             };
-            let page: RunList = self.request(Method::Get, &path, None, Vec::new())?;
+            let page: RunList = self.request(Method::Get, &path)?;
             all.extend(page.runs);
             if page.next_page_token.is_empty() || all.len() >= MAX_LISTED_RUNS {
                 return Ok(all);
@@ -173,3 +225,14 @@
         }
     }
 }
+
+fn wes_call(method: Method, path: &str, body: Vec<u8>) -> Call {
+    Call {
+        id: 0,
+        to: Target::Peer(String::new()),
+        method,
+        path: format!("{BASE_PATH}{path}"),
+        body,
+        timeout: ANSWER_TIMEOUT,
+    }
+}
--- a/crates/daemon/src/workflows/server.rs
+++ b/crates/daemon/src/workflows/server.rs
@@ -16,13 +16,14 @@
 use oliveshift_core::{Call, Method, Reply as CoreReply, Target};
 use oliveshift_wire::{
     encode,
+    idempotency_key::{IDEMPOTENCY_KEY_HEADER, InvalidIdempotencyKey},
     wes::{self, BASE_PATH, State},
 };
 use oliveshift_workflow::{
     api::{self, Reply},
     records::{Bundle, RunId, RunState, StoredRun},
     service::{
-        ANSWER_TIMEOUT, Answer, Input, MAX_BUNDLE_BYTES, Output, Service, UserRequest,
+        ANSWER_TIMEOUT, Answer, Input, MAX_BUNDLE_BYTES, Output, Service, Submission, UserRequest,
         UserRequestId,
     },
 };
@@ -231,9 +232,9 @@
         match (request.method(), parts.as_slice()) {
             (HttpMethod::Get, ["service-info"]) => json(&self.service_info()),
             (HttpMethod::Get, ["runs"]) => self.list_runs(&request).await,
-            (HttpMethod::Post, ["runs"]) => match self.read_bundle(&mut request).await {
-                Ok(bundle) => {
-                    let answer = self.ask(UserRequest::Submit(Box::new(bundle))).await;
+            (HttpMethod::Post, ["runs"]) => match self.read_submission(&mut request).await {
+                Ok(submission) => {
+                    let answer = self.ask(UserRequest::Submit(Box::new(submission))).await;
                     common_response(answer)
                 }
                 Err(reason) => problem(400, &reason),
@@ -354,6 +355,20 @@
         }
     }
 
+    async fn read_submission(&self, request: &mut Request) -> Result<Submission, String> {
+        let key = request.header(IDEMPOTENCY_KEY_HEADER);
+        // In the form of a structured field, the key is quoted.
+        let key = key.map(|key| key.as_str().trim().trim_matches('"').parse());
+        let idempotency_key = key
+            .transpose()
+            .map_err(|e: InvalidIdempotencyKey| e.to_string())?;
+        let bundle = self.read_bundle(request).await?;
+        Ok(Submission {
+            bundle,
+            idempotency_key,
+        })
+    }
+
     /// Reads a submitted document and its inputs from the multipart body of a request.
     async fn read_bundle(&self, request: &mut Request) -> Result<Bundle, String> {
         let kind = request.header(headers::CONTENT_TYPE);
@@ -468,13 +483,18 @@
             run_id: id.to_string(),
         }),
         Answer::Invalid(reason) => problem(400, &reason),
+        Answer::KeyReused => {
+            let message = "the Idempotency-Key was sent with another document or other inputs";
+            problem(422, message)
+        }
         Answer::Unknown => problem(404, "no such run"),
         Answer::RetryAfter(after) => {
             let message = "the request was not executed; retry later";
             problem_with_retry(503, message, after)
         }
         Answer::OutcomeUnknown(after) => {
-            let message = "the request may have been executed, or may still be";
+            let message = "the request may have been executed, or may still be; repeat a \
+                           submission only with the same Idempotency-Key";
             problem_with_retry(504, message, after)
         }
         _ => problem(500, "internal error: the answer does not match the request"),
--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -746,3 +746,132 @@
         );
     }
 }
+
+/// What a proxy does with one connection to an instance.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionFault {
+    /// It passes a part of the request on, then closes both sides.
+    RequestCut,
+    /// It passes the request on and closes the connection without the answer.
+    AnswerLost,
+    /// It passes a part of the answer back, then closes the connection.
+    AnswerCut,
+    /// It passes the request and the answer on.
+    None,
+}
+
+/// Number of bytes of a request or an answer that get through a connection that is cut.
+const BYTES_BEFORE_CUT: usize = 40;
+
+/// Passes connections on to an instance, with a fault for each; the last one applies to all that
+/// follow.
+fn start_proxy(to: SocketAddr, faults: Vec<ConnectionFault>) -> SocketAddr {
+    let listener = TcpListener::bind((unique_loopback_address(), 0)).expect("a free port");
+    let addr = listener.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        for (i, client) in listener.incoming().enumerate() {
+            let fault = faults[i.min(faults.len() - 1)];
+            if let Ok(client) = client {
+                let _ = pass_connection(client, to, fault);
+            }
+        }
+    });
+    addr
+}
+
+fn pass_connection(
+    mut client: TcpStream,
+    to: SocketAddr,
+    fault: ConnectionFault,
+) -> std::io::Result<()> {
+    let mut server = TcpStream::connect(to)?;
+    let request = read_request(&mut client)?;
+    if let ConnectionFault::RequestCut = fault {
+        return server.write_all(&request[..BYTES_BEFORE_CUT]);
+    }
+    server.write_all(&request)?;
+    let mut answer = vec![0; 64 * 1024];
+    let len = server.read(&mut answer)?;
+    match fault {
+        ConnectionFault::RequestCut | ConnectionFault::AnswerLost => Ok(()),
+        ConnectionFault::AnswerCut => client.write_all(&answer[..BYTES_BEFORE_CUT]),
+        ConnectionFault::None => {
+            client.write_all(&answer[..len])?;
+            server.set_read_timeout(Some(Duration::from_millis(200)))?;
+            let mut rest = Vec::new();
+            let _ = server.read_to_end(&mut rest);
+            client.write_all(&rest)
+        }
+    }
+}
+
+/// Reads a request with its body, whose length its head tells.
+fn read_request(client: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+    let mut request = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let len = client.read(&mut buffer)?;
+        request.extend(&buffer[..len]);
+        let text = String::from_utf8_lossy(&request).to_ascii_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head
+            .lines()
+            .find_map(|l| l.strip_prefix("content-length: "));
+        let length: usize = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
+        if len == 0 || body.len() >= length {
+            return Ok(request);
+        }
+    }
+}
+
+/// Guards against a second run of a submission whose connection was dropped: at each step of it, and
+/// when the command is repeated by its user.
+#[test]
+fn a_dropped_connection_does_not_start_a_second_run() {
+    let services = start_services("drops", None);
+    let wf = start_instance(&services, "one");
+    // A document without its inputs is refused as invalid once the instance holds a range.
+    let (status, _) = submit(wf.addr, "waveform-to-catalog", Some(json!({})));
+    assert_eq!(status, 400);
+    let faults = vec![
+        ConnectionFault::RequestCut,
+        ConnectionFault::AnswerLost,
+        ConnectionFault::AnswerCut,
+        ConnectionFault::None,
+    ];
+    let proxy = start_proxy(wf.addr, faults).to_string();
+    let at = wf.addr.to_string();
+    let run = |at: &str, inputs: &str, key: &str| {
+        let document = "waveform-to-catalog.cwl";
+        let key = ["--idempotency-key", key];
+        let args = [
+            "run", document, inputs, "--at", at, "--detach", key[0], key[1],
+        ];
+        cwl(&args)
+    };
+    let inputs = "waveform-to-catalog.inputs.yaml";
+    let (code, first, err) = run(&proxy, inputs, "alert-1");
+    assert_eq!(code, Some(0), "{err}");
+    let (code, second, err) = run(&at, inputs, "alert-1");
+    assert_eq!((code, second.as_str()), (Some(0), first.as_str()), "{err}");
+    let (_, list) = get(wf.addr, "/runs");
+    assert_eq!(list["runs"].as_array().map(Vec::len), Some(1), "{list}");
+    assert_eq!(wait_for_end(wf.addr, first.trim()), "COMPLETE");
+    let accepted = services.accepted.lock().expect("not poisoned").clone();
+    assert_eq!(
+        accepted.values().collect::<Vec<_>>(),
+        [&1; 4],
+        "{accepted:?}"
+    );
+    let other = services.objects.join("other.yaml");
+    let text = std::fs::read_to_string(Path::new(EXAMPLES).join(inputs)).expect("the inputs");
+    std::fs::write(&other, text.replace("shared.xml", "other.xml")).expect("written");
+    let (code, _, err) = run(&at, &other.display().to_string(), "alert-1");
+    assert_eq!(code, Some(5), "{err}");
+    assert!(err.contains("another document or other inputs"), "{err}");
+    let (code, _, err) = run(&at, inputs, "not a key");
+    assert_eq!(code, Some(2), "{err}");
+    assert!(err.contains("not an idempotency key"), "{err}");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admin;
 pub mod cloud;
 pub mod codec;
+pub mod idempotency_key;
 pub mod ids;
 pub mod job;
 pub mod peer;
@@ -20,4 +21,5 @@
 pub mod worker;
 
 pub use codec::{CodecError, decode, encode};
+pub use idempotency_key::IdempotencyKey;
 pub use ids::{JobId, TaskId};
--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -75,6 +75,7 @@
         pieces: 1,
         outputs: 0,
         failure: None,
+        idempotency_key: None,
     };
     let process = load::load(&bundle, &bundle.main).expect("a valid example");
     let before = resident_kib();
@@ -127,7 +128,7 @@
         if submitted < count && submitted < started + 4 {
             inputs.push(Input::UserRequest(
                 submitted as u64,
-                UserRequest::Submit(Box::new(bundle.clone())),
+                UserRequest::Submit(Box::new(bundle.clone().into())),
             ));
             submitted += 1;
         }
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -59,6 +59,8 @@
     JobsLeftRunning,
     /// A job of another submitter with the same id is treated as the run's own.
     ForeignJobAdopted,
+    /// Idempotency keys of submissions are ignored.
+    KeysIgnored,
 }
 
 /// Next action for a run.
--- a/crates/workflow/src/creation.rs
+++ b/crates/workflow/src/creation.rs
@@ -10,7 +10,10 @@
 
 use oliveshift_wire::state::Txn;
 
-use crate::service::{Answer, RETRY_AFTER, StoreReply, UserRequestId};
+use crate::{
+    service::{Answer, RETRY_AFTER, StoreReply, UserRequestId},
+    submission::SubmissionIdentity,
+};
 
 /// Time limit for recording a submitted run. Less than
 /// [`ANSWER_TIMEOUT`](crate::service::ANSWER_TIMEOUT), so that the submitter is answered from what
@@ -31,7 +34,10 @@
 /// A run whose first records are being written.
 #[derive(Debug)]
 pub(crate) struct RunCreation {
-    request_id: UserRequestId,
+    /// Requests that submitted the run: the first one, and repeats with the same key.
+    request_ids: Vec<UserRequestId>,
+    /// Set if the client sent an idempotency key.
+    identity: Option<SubmissionIdentity>,
     /// Version of the claim to the run's range that all writes are conditional on.
     claim_version: u64,
     /// Transactions still to be written, in reverse order; the first one holds the run's record.
@@ -49,12 +55,14 @@
     pub fn new(
         now: Duration,
         request_id: UserRequestId,
+        identity: Option<SubmissionIdentity>,
         claim_version: u64,
         mut txns: Vec<Txn>,
     ) -> Self {
         txns.reverse();
         Self {
-            request_id,
+            request_ids: vec![request_id],
+            identity,
             claim_version,
             txns,
             deadline: now + CREATION_TIMEOUT,
@@ -63,9 +71,19 @@
         }
     }
 
-    /// Request that submitted the run.
-    pub fn request_id(&self) -> UserRequestId {
-        self.request_id
+    /// Requests that submitted the run.
+    pub fn request_ids(&self) -> &[UserRequestId] {
+        &self.request_ids
+    }
+
+    /// Adds a repeat of the submission; it gets the same answer.
+    pub fn add_request(&mut self, request_id: UserRequestId) {
+        self.request_ids.push(request_id);
+    }
+
+    /// What the submission is recognized by, if the client sent an idempotency key.
+    pub fn identity(&self) -> Option<&SubmissionIdentity> {
+        self.identity.as_ref()
     }
 
     /// Version of the claim that all writes are conditional on.
--- a/crates/workflow/src/creation/tests.rs
+++ b/crates/workflow/src/creation/tests.rs
@@ -7,7 +7,7 @@
         conds: Vec::new(),
         changes: Vec::new(),
     };
-    RunCreation::new(NOW, 7, 3, vec![txn; pieces + 1])
+    RunCreation::new(NOW, 7, None, 3, vec![txn; pieces + 1])
 }
 
 fn send(creation: &mut RunCreation, reply: StoreReply) -> CreationProgress {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod records;
 mod run_loading;
 pub mod service;
+mod submission;
 mod sweep;
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -8,15 +8,18 @@
 //! | `wf/t/RANGE/ID/N` | pieces of its document and inputs, followed by those of its outputs |
 //! | `wf/j/RANGE/ID/N` | records of the jobs of its steps |
 //! | `wf/c/RANGE/ID` | a request to cancel it |
+//! | `wf/k/KEY` | the run that was submitted with an idempotency key; removed with the run |
 
 use std::{collections::BTreeMap, fmt, str::FromStr};
 
 use oliveshift_wire::{
+    IdempotencyKey,
     job::JobSpec,
     state::{Change, Item},
 };
 use rmpv::Value;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use sha2::{Digest, Sha256};
 use thiserror::Error;
 
 use crate::{
@@ -25,7 +28,8 @@
 };
 
 /// Identifies a run by its range and its number within the range.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct RunId {
     /// Range that the run belongs to.
     pub range: u32,
@@ -62,6 +66,20 @@
     }
 }
 
+impl TryFrom<String> for RunId {
+    type Error = InvalidRunId;
+
+    fn try_from(text: String) -> Result<Self, InvalidRunId> {
+        text.parse()
+    }
+}
+
+impl From<RunId> for String {
+    fn from(id: RunId) -> Self {
+        id.to_string()
+    }
+}
+
 /// State of a run. The serialized names follow the GA4GH Workflow Execution Service, apart
 /// from `FAILING`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +123,9 @@
     pub outputs: u32,
     /// Step that failed, and the reason.
     pub failure: Option<(String, String)>,
+    /// Key that the client submitted the run with.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub idempotency_key: Option<IdempotencyKey>,
 }
 
 impl RunRecord {
@@ -128,6 +149,16 @@
     pub defaults: Defaults,
 }
 
+impl Bundle {
+    /// Digest of what the client submitted, in hexadecimal digits. The defaults are the service's.
+    pub fn digest(&self) -> String {
+        let submitted = (&self.main, &self.files, &self.inputs);
+        let text = serde_json::to_vec(&submitted).unwrap_or_default();
+        let digest = Sha256::digest(&text);
+        digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
 impl oliveshift_cwl::load::Resolver for Bundle {
     fn read(&self, path: &str) -> Result<String, String> {
         let text = self.files.get(path).cloned();
@@ -135,6 +166,15 @@
     }
 }
 
+/// The run that was submitted with an idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmissionRecord {
+    /// The run.
+    pub run: RunId,
+    /// [`Bundle::digest`] of the submission.
+    pub digest: String,
+}
+
 /// A job of a run, with everything needed to submit it again. Written before the first
 /// submission.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -212,6 +252,11 @@
     format!("wf/{kind}/{}/{:016x}", id.range, id.number)
 }
 
+/// Key of the record of a submission.
+pub fn submission_key(key: &IdempotencyKey) -> String {
+    format!("wf/k/{key}")
+}
+
 /// Key of one piece of a run. The numbers are zero-padded so that keys sort by number.
 pub fn piece_key(kind: char, id: RunId, number: usize) -> String {
     format!("{}/{number:06}", run_key(kind, id))
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -6,7 +6,7 @@
 };
 
 use oliveshift_wire::{
-    JobId,
+    IdempotencyKey, JobId,
     job::JobSpec,
     state::{Cond, Item, Txn},
 };
@@ -26,6 +26,7 @@
         put_text, range_key, run_id_of_key, run_key, split_text,
     },
     run_loading::{LoadProgress, LoadStage},
+    submission::SubmissionIdentity,
     sweep::{SweepStep, Sweeps},
 };
 
@@ -108,11 +109,31 @@
     Lost,
 }
 
+/// A run that a user submits.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Document and inputs.
+    pub bundle: Bundle,
+    /// Key by which a repeat of the submission is recognized. A submission without a key always
+    /// starts a run.
+    pub idempotency_key: Option<IdempotencyKey>,
+}
+
+impl From<Bundle> for Submission {
+    /// A submission without a key.
+    fn from(bundle: Bundle) -> Self {
+        Self {
+            bundle,
+            idempotency_key: None,
+        }
+    }
+}
+
 /// A request of a user.
 #[derive(Clone, Debug)]
 pub enum UserRequest {
     /// Start a run.
-    Submit(Box<Bundle>),
+    Submit(Box<Submission>),
     /// Return the status of a run.
     Status(RunId),
     /// Cancel a run.
@@ -138,8 +159,11 @@
 /// Answer to a request of a user.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
-    /// The run was recorded under this id and will be executed.
+    /// The run was recorded under this id and will be executed. A repeat of a submission gets the
+    /// id of the run that was started first.
     Started(RunId),
+    /// The idempotency key was sent with another document or other inputs before.
+    KeyReused,
     /// The document or its inputs are invalid, for this reason.
     Invalid(String),
     /// Status of a run.
@@ -208,8 +232,10 @@
     Results(RunId, JobKey),
     Text(RunId, String),
     Create(RunId),
-    /// Read of a run's record after a write of it failed.
+    /// Read that tells whether a submission is recorded, after a write of it failed.
     SettleCreation(RunId, RunCreation),
+    /// Read of the record of a submission that cannot be recorded now.
+    FindSubmission(UserRequestId, SubmissionIdentity),
     Status(UserRequestId, RunId),
     Cancel(UserRequestId),
     List(UserRequestId),
@@ -381,19 +407,7 @@
     ) {
         let retry = Answer::RetryAfter(RETRY_AFTER);
         match request {
-            UserRequest::Submit(bundle) => {
-                let held_ranges: Vec<u32> = self.ranges.held().collect();
-                let full = self.runs.len() + self.creating.len() >= self.settings.max_runs;
-                let Some(range) = self.rng.choice(held_ranges).filter(|_| !full) else {
-                    return self.outputs.push(Output::Answer(request_id, retry));
-                };
-                let id = RunId {
-                    range,
-                    number: self.rng.u64(..),
-                };
-                log::info!("{id}: submission received as request {request_id}");
-                self.begin_creation(now, unix_s, request_id, id, *bundle);
-            }
+            UserRequest::Submit(submission) => self.submit(now, unix_s, request_id, *submission),
             UserRequest::Status(id) => {
                 // Only recorded state is reported: unrecorded state is lost in a crash.
                 if let Some(HeldRun::Active(run, _)) = self.runs.get(&id)
@@ -444,6 +458,76 @@
         }
     }
 
+    /// Starts to record a submitted run, unless it is recognized as a repeat.
+    fn submit(
+        &mut self,
+        now: Duration,
+        unix_s: u64,
+        request_id: UserRequestId,
+        submission: Submission,
+    ) {
+        let Submission {
+            bundle,
+            idempotency_key,
+        } = submission;
+        let identity = idempotency_key.map(|key| SubmissionIdentity::new(key, &bundle));
+        #[cfg(feature = "sabotage")]
+        let identity = identity.filter(|_| self.sabotage != Some(Sabotage::KeysIgnored));
+        if let Some(identity) = &identity
+            && self.join_creation(request_id, identity)
+        {
+            return;
+        }
+        let held_ranges: Vec<u32> = self.ranges.held().collect();
+        let full = self.runs.len() + self.creating.len() >= self.settings.max_runs;
+        let Some(range) = self.rng.choice(held_ranges).filter(|_| !full) else {
+            return self.find_submission(now, request_id, identity);
+        };
+        let id = RunId {
+            range,
+            number: self.rng.u64(..),
+        };
+        log::info!("{id}: submission received as request {request_id}");
+        self.begin_creation(now, unix_s, request_id, id, bundle, identity);
+    }
+
+    /// Adds a request to the creation of a run that was submitted with the same key. Returns false
+    /// if there is none.
+    fn join_creation(&mut self, request_id: UserRequestId, identity: &SubmissionIdentity) -> bool {
+        let has_key = |c: &RunCreation| c.identity().is_some_and(|i| i.key() == identity.key());
+        let Some((id, creation)) = self.creating.iter_mut().find(|(_, c)| has_key(c)) else {
+            return false;
+        };
+        if creation.identity() == Some(identity) {
+            log::info!("{id}: request {request_id} repeats its submission");
+            creation.add_request(request_id);
+        } else {
+            let answer = Answer::KeyReused;
+            self.outputs.push(Output::Answer(request_id, answer));
+        }
+        true
+    }
+
+    /// Answers a submission that cannot be recorded now: a repeat gets the run that was recorded
+    /// before.
+    fn find_submission(
+        &mut self,
+        now: Duration,
+        request_id: UserRequestId,
+        identity: Option<SubmissionIdentity>,
+    ) {
+        let identity = identity.filter(|_| self.store_budget.available(now) > 0);
+        let Some(identity) = identity else {
+            let answer = Answer::RetryAfter(RETRY_AFTER);
+            return self.outputs.push(Output::Answer(request_id, answer));
+        };
+        let call = StoreCall::Page {
+            prefix: identity.record_key(),
+            after: None,
+        };
+        self.call_store(Pending::FindSubmission(request_id, identity), call);
+    }
+
     /// Checks a submitted document and prepares the writes for its run: first the document and
     /// inputs, then the run's record.
     fn begin_creation(
@@ -453,6 +537,7 @@
         request_id: UserRequestId,
         id: RunId,
         bundle: Bundle,
+        identity: Option<SubmissionIdentity>,
     ) {
         let text = serde_json::to_string(&bundle).unwrap_or_default();
         let piece_bytes = self.settings.value_bytes;
@@ -463,6 +548,7 @@
             pieces: 0,
             outputs: 0,
             failure: None,
+            idempotency_key: identity.as_ref().map(|i| i.key().clone()),
         };
         let invalid_reason = if text.len() > MAX_BUNDLE_BYTES {
             Some(format!(
@@ -486,29 +572,30 @@
             .enumerate()
             .map(|(i, text)| put_text(piece_key('t', id, i), text))
             .collect();
-        let mut fence = Vec::new();
+        let mut conds = Vec::new();
         let claim_version = self.ranges.version(id.range);
-        let Some(claim_version) = claim_version.filter(|_| self.add_fence(id.range, &mut fence))
+        let Some(claim_version) = claim_version.filter(|_| self.add_fence(id.range, &mut conds))
         else {
             let answer = Answer::RetryAfter(RETRY_AFTER);
             return self.outputs.push(Output::Answer(request_id, answer));
         };
+        conds.extend(identity.as_ref().map(SubmissionIdentity::absent));
         let mut txns: Vec<Txn> = changes
             .chunks(self.max_txn_changes())
             .map(|changes| Txn {
-                conds: fence.clone(),
+                conds: conds.clone(),
                 changes: changes.to_vec(),
             })
             .collect();
-        let absent = Cond {
+        conds.push(Cond {
             key: run_key('r', id),
             version: 0,
-        };
-        txns.push(Txn {
-            conds: [absent].into_iter().chain(fence).collect(),
-            changes: vec![put_record(run_key('r', id), &record)],
         });
-        let creation = RunCreation::new(now, request_id, claim_version, txns);
+        let submission_record = identity.as_ref().map(|identity| identity.put(id));
+        let changes = [put_record(run_key('r', id), &record)].into_iter();
+        let changes = changes.chain(submission_record).collect();
+        txns.push(Txn { conds, changes });
+        let creation = RunCreation::new(now, request_id, identity, claim_version, txns);
         self.creating.insert(id, creation);
     }
 
@@ -603,6 +690,14 @@
             Pending::SettleCreation(id, creation) => {
                 self.creation_settled(now, id, &creation, reply)
             }
+            Pending::FindSubmission(request_id, identity) => {
+                let answer = match &reply {
+                    StoreReply::Page(items, _) => identity.answer(items),
+                    _ => None,
+                };
+                let answer = answer.unwrap_or(Answer::RetryAfter(RETRY_AFTER));
+                self.outputs.push(Output::Answer(request_id, answer));
+            }
             Pending::Status(request_id, id) => {
                 let answer = match reply {
                     StoreReply::Page(items, _) => {
@@ -790,40 +885,49 @@
         match creation.write_answered(reply) {
             CreationProgress::Incomplete => {}
             CreationProgress::Recorded => {
-                let request_id = creation.request_id();
-                self.creating.remove(&id);
-                self.run_recorded(now, id, request_id);
+                if let Some(creation) = self.creating.remove(&id) {
+                    self.run_recorded(now, id, &creation);
+                }
             }
             CreationProgress::ConditionFailed => self.settle_creation(id),
         }
     }
 
     /// Answers a submission whose run is recorded.
-    fn run_recorded(&mut self, now: Duration, id: RunId, request_id: UserRequestId) {
-        log::info!("{id}: recorded for request {request_id}");
+    fn run_recorded(&mut self, now: Duration, id: RunId, creation: &RunCreation) {
         // The run is loaded from its records, as after a crash.
         self.runs.entry(id).or_insert(HeldRun::ToLoad(now));
-        self.outputs
-            .push(Output::Answer(request_id, Answer::Started(id)));
+        self.answer_submission(id, creation, &Answer::Started(id));
+    }
+
+    /// Answers the requests that submitted a run.
+    fn answer_submission(&mut self, id: RunId, creation: &RunCreation, answer: &Answer) {
+        for request_id in creation.request_ids() {
+            log::info!("{id}: request {request_id} is answered {answer:?}");
+            self.outputs
+                .push(Output::Answer(*request_id, answer.clone()));
+        }
     }
 
-    /// Ends a creation whose conditions no longer hold. If an earlier write of the run's record
-    /// may have been executed, a read decides.
+    /// Ends a creation whose conditions no longer hold. A read decides if an earlier write of the
+    /// run's record may have been executed, or if the key may be that of a run recorded before.
     fn settle_creation(&mut self, id: RunId) {
         let Some(creation) = self.creating.remove(&id) else {
             return;
         };
-        if !creation.may_be_recorded() {
-            return self.abandon_creation(id, &creation);
-        }
+        let prefix = match creation.identity() {
+            Some(identity) => identity.record_key(),
+            None if creation.may_be_recorded() => run_key('r', id),
+            None => return self.abandon_creation(id, &creation),
+        };
         let call = StoreCall::Page {
-            prefix: run_key('r', id),
+            prefix,
             after: None,
         };
         self.call_store(Pending::SettleCreation(id, creation), call);
     }
 
-    /// Applies the read of a run's record after its creation has ended.
+    /// Applies the read of a submission's records after its creation has ended.
     fn creation_settled(
         &mut self,
         now: Duration,
@@ -831,22 +935,31 @@
         creation: &RunCreation,
         reply: StoreReply,
     ) {
-        let key = run_key('r', id);
-        match reply {
-            StoreReply::Page(items, _) if items.iter().any(|i| i.key == key) => {
-                self.run_recorded(now, id, creation.request_id());
+        let StoreReply::Page(items, _) = reply else {
+            return self.abandon_creation(id, creation);
+        };
+        let answer = match creation.identity() {
+            Some(identity) => identity.answer(&items),
+            None => {
+                let key = run_key('r', id);
+                let mut items = items.iter();
+                items.find(|i| i.key == key).map(|_| Answer::Started(id))
             }
-            _ => self.abandon_creation(id, creation),
+        };
+        match answer {
+            Some(Answer::Started(recorded)) if recorded == id => {
+                self.run_recorded(now, id, creation);
+            }
+            Some(answer) => self.answer_submission(id, creation, &answer),
+            None => self.abandon_creation(id, creation),
         }
     }
 
     /// Answers a submission whose run could not be recorded. If its record was written all the
     /// same, the next scan of the range finds the run.
     fn abandon_creation(&mut self, id: RunId, creation: &RunCreation) {
-        let request_id = creation.request_id();
         let answer = creation.answer_when_abandoned();
-        log::warn!("{id}: not recorded for request {request_id}, answered {answer:?}");
-        self.outputs.push(Output::Answer(request_id, answer));
+        self.answer_submission(id, creation, &answer);
     }
 
     /// Performs all due work within the request budgets.
--- a/crates/workflow/src/sweep.rs
+++ b/crates/workflow/src/sweep.rs
@@ -1,11 +1,12 @@
 //! Removes ended runs after the retention period: pieces first, the run's own record last, so
-//! that an interrupted sweep is resumed when the record is read again.
+//! that an interrupted sweep is resumed when the record is read again. The record of the run's
+//! idempotency key is removed together with it: from then on the key may be another run's.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use oliveshift_wire::state::{Change, Item};
 
-use crate::records::{RunId, RunRecord, piece_key, run_key};
+use crate::records::{RunId, RunRecord, piece_key, run_key, submission_key};
 
 /// Maximum number of runs that are removed at the same time.
 const MAX_CONCURRENT_SWEEPS: usize = 4;
@@ -21,8 +22,10 @@
 
 #[derive(Debug)]
 struct Sweep {
-    /// Keys to remove, in reverse order: the last one is removed first.
+    /// Keys of pieces to remove, in reverse order: the last one is removed first.
     keys: Vec<String>,
+    /// Keys to remove together, once all pieces are removed.
+    final_keys: Vec<String>,
     /// Key after which the list of jobs continues, `Some(None)` at its start; `None` once all job
     /// keys are known.
     list_after: Option<Option<String>>,
@@ -56,10 +59,12 @@
             return;
         }
         let pieces = (record.pieces + record.outputs) as usize;
-        let mut keys = vec![run_key('r', id), run_key('c', id)];
+        let mut keys = vec![run_key('c', id)];
         keys.extend((0..pieces).map(|i| piece_key('t', id, i)));
+        let submission = record.idempotency_key.as_ref().map(submission_key);
         let sweep = Sweep {
             keys,
+            final_keys: submission.into_iter().chain([run_key('r', id)]).collect(),
             list_after: Some(None),
             in_flight: false,
         };
@@ -74,8 +79,11 @@
             return Some(SweepStep::ListJobs(*id, after.clone()));
         }
         let from = sweep.keys.len().saturating_sub(max_changes);
-        let keys = sweep.keys[from..].iter().rev().cloned();
-        let changes = keys.map(|key| Change::Delete { key }).collect();
+        let keys: Vec<String> = match sweep.keys.is_empty() {
+            true => sweep.final_keys.clone(),
+            false => sweep.keys[from..].iter().rev().cloned().collect(),
+        };
+        let changes = keys.into_iter().map(|key| Change::Delete { key }).collect();
         Some(SweepStep::Remove(*id, changes))
     }
 
@@ -105,11 +113,12 @@
             return;
         };
         sweep.in_flight = false;
-        sweep.keys.truncate(sweep.keys.len().saturating_sub(count));
         if sweep.keys.is_empty() {
             log::debug!("{id}: run removed after its retention period");
             self.runs.remove(&id);
+            return;
         }
+        sweep.keys.truncate(sweep.keys.len().saturating_sub(count));
     }
 }
 
--- a/crates/workflow/src/sweep/tests.rs
+++ b/crates/workflow/src/sweep/tests.rs
@@ -15,6 +15,7 @@
         pieces: 2,
         outputs: 1,
         failure: None,
+        idempotency_key: "once".parse().ok(),
     };
     sweeps.consider(id, &record, 149);
     assert_eq!(sweeps.next_step(3), None);
@@ -40,7 +41,7 @@
         }));
     }
     let t = |i| piece_key('t', id, i);
-    let last = [run_key('c', id), run_key('r', id)];
+    let last = [run_key('c', id), "wf/k/once".to_owned(), run_key('r', id)];
     let mut all = vec![piece_key('j', id, 0), t(2), t(1), t(0)];
     all.extend(last);
     assert_eq!(removed, all);
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -16,7 +16,7 @@
     active::{JobReply, Sabotage},
     api::{self, Reply},
     records::{JobRecord, RunId, RunRecord, RunState, parse_record, run_id_of_key},
-    service::{Answer, Input, Output, Service, Settings, StoreCall, UserRequest},
+    service::{Answer, Input, Output, Service, Settings, StoreCall, Submission, UserRequest},
 };
 
 mod support;
@@ -670,7 +670,7 @@
     let bundles = [example("sheet-to-portal"), example("waveform-to-catalog")];
     for i in 0..runs {
         let at = S * 5 + S * world.rng.u32(0..60);
-        let bundle = Box::new(bundles[i % 2].clone());
+        let bundle = Box::new(bundles[i % 2].clone().into());
         world
             .user_requests
             .push_back((at, UserRequest::Submit(bundle)));
@@ -708,7 +708,7 @@
 #[test]
 fn many_runs_stay_within_the_request_budgets() {
     let mut world = World::new(5, Faults::default(), 1, None);
-    let bundle = Box::new(example("waveform-to-catalog"));
+    let bundle = Box::new(Submission::from(example("waveform-to-catalog")));
     for i in 0..400 {
         let at = S * 5 + MS * 100 * i;
         world
@@ -756,7 +756,7 @@
     };
     let mut world = World::new(8, faults, 2, None);
     world.retention = S * 60;
-    let bundle = Box::new(example("waveform-to-catalog"));
+    let bundle = Box::new(Submission::from(example("waveform-to-catalog")));
     for i in 0..12 {
         world
             .user_requests
--- a/crates/workflow/tests/sides.rs
+++ b/crates/workflow/tests/sides.rs
@@ -337,7 +337,7 @@
         if let Some((at, bundle)) = self.bundles.get(self.submitted)
             && now >= *at
         {
-            let request = UserRequest::Submit(Box::new(bundle.clone()));
+            let request = UserRequest::Submit(Box::new(bundle.clone().into()));
             self.handle(
                 now,
                 Input::UserRequest(self.submitted as u64, request),
