A cancellation whose write got no answer is not called refused

Callers saw: 503, 'not executed', for a cancellation that was recorded all the same or later; the run was cancelled.

Cause: as with submissions, each reply of the state service but 'committed' became 503, and so did the server's time limit.

Change: 504 for both. The client repeats a cancellation, which is safe, until its outcome is known.

--- a/crates/daemon/src/wes.rs
+++ b/crates/daemon/src/wes.rs
@@ -32,12 +32,15 @@
     /// The service answered with status 503 at each attempt.
     #[error("{0} cannot process the request now (status 503); try again later")]
     Unavailable(SocketAddrV4),
-    /// The service or its answer was lost at some attempt, and no later one told the outcome.
+    /// The answer to a submission was lost at some attempt, and no later one told the outcome.
     #[error(
         "{0} did not say whether the run was started; repeat the command with \
          --idempotency-key {1} to learn it, or to start the run if it was not"
     )]
-    OutcomeUnknown(SocketAddrV4, IdempotencyKey),
+    SubmissionInDoubt(SocketAddrV4, IdempotencyKey),
+    /// The answer to a cancellation was lost at some attempt, and no later one told the outcome.
+    #[error("{0} did not say whether the run is being cancelled; repeat the command")]
+    CancellationInDoubt(SocketAddrV4),
     /// The service rejected the request.
     #[error("{0} refuses: {1}")]
     Refused(SocketAddrV4, String),
@@ -50,7 +53,10 @@
     /// The exit code of the program.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Unreachable(_) | Self::Unavailable(_) | Self::OutcomeUnknown(..) => 4,
+            Self::Unreachable(_)
+            | Self::Unavailable(_)
+            | Self::SubmissionInDoubt(..)
+            | Self::CancellationInDoubt(_) => 4,
             Self::Refused(..) | Self::Unreadable(..) => 5,
         }
     }
@@ -111,9 +117,9 @@
         }
     }
 
-    /// Sends a request that changes nothing when it is repeated, until it is executed.
-    fn request<T: DeserializeOwned>(self, method: Method, path: &str) -> Result<T, WesError> {
-        let call = wes_call(method, path, Vec::new());
+    /// Reads something, while the service answers that it cannot now.
+    fn read<T: DeserializeOwned>(self, path: &str) -> Result<T, WesError> {
+        let call = wes_call(Method::Get, path, Vec::new());
         for i in 0..MAX_ATTEMPTS {
             if i > 0 {
                 std::thread::sleep(RETRY_INTERVAL);
@@ -127,33 +133,28 @@
         Err(WesError::Unavailable(self.0))
     }
 
-    /// Submits a run under a key until its outcome is known. The service recognizes each attempt
-    /// by the key, so a repeat after a lost answer does not start a second run.
-    fn submit_once(
+    /// Sends a request until its outcome is known; fails with `in_doubt` if it does not become
+    /// known. A repeat of the request must change nothing once it was executed.
+    fn execute<T: DeserializeOwned>(
         self,
-        key: &IdempotencyKey,
-        content_type: &str,
-        body: Vec<u8>,
-    ) -> Result<RunId, WesError> {
-        let call = wes_call(Method::Post, "/runs", body);
-        let headers = RequestHeaders {
-            content_type: Some(content_type),
-            idempotency_key: Some(key),
-        };
-        let mut in_doubt = false;
+        call: &Call,
+        headers: RequestHeaders<'_>,
+        in_doubt: WesError,
+    ) -> Result<T, WesError> {
+        let mut is_in_doubt = false;
         for i in 0..MAX_ATTEMPTS {
             if i > 0 {
                 std::thread::sleep(RETRY_INTERVAL);
             }
-            match self.attempt(&call, headers)? {
-                Attempt::Done(run) => return Ok(run),
+            match self.attempt(call, headers)? {
+                Attempt::Done(answer) => return Ok(answer),
                 Attempt::NotSent if i == 0 => return Err(WesError::Unreachable(self.0)),
                 Attempt::NotSent | Attempt::NotExecuted => {}
-                Attempt::Unknown => in_doubt = true,
+                Attempt::Unknown => is_in_doubt = true,
             }
         }
-        Err(match in_doubt {
-            true => WesError::OutcomeUnknown(self.0, key.clone()),
+        Err(match is_in_doubt {
+            true => in_doubt,
             false => WesError::Unavailable(self.0),
         })
     }
@@ -191,20 +192,28 @@
         }
         body += &format!("--{boundary}--\r\n");
         let content_type = format!("multipart/form-data; boundary={boundary}");
-        let run = self.submit_once(key, &content_type, body.into_bytes())?;
+        let call = wes_call(Method::Post, "/runs", body.into_bytes());
+        // The service recognizes repeats by the key.
+        let headers = RequestHeaders {
+            content_type: Some(&content_type),
+            idempotency_key: Some(key),
+        };
+        let in_doubt = WesError::SubmissionInDoubt(self.0, key.clone());
+        let run: RunId = self.execute(&call, headers, in_doubt)?;
         Ok(run.run_id)
     }
 
     /// Returns the full record of a run.
     pub fn log(self, run: &str) -> Result<RunLog, WesError> {
-        self.request(Method::Get, &format!("/runs/{run}"))
+        self.read(&format!("/runs/{run}"))
     }
 
     /// Requests the cancellation of a run.
     pub fn cancel(self, run: &str) -> Result<(), WesError> {
-        let path = format!("/runs/{run}/cancel");
-        let done: Result<RunId, _> = self.request(Method::Post, &path);
-        done.map(|_| ())
+        let call = wes_call(Method::Post, &format!("/runs/{run}/cancel"), Vec::new());
+        let in_doubt = WesError::CancellationInDoubt(self.0);
+        let run: Result<RunId, _> = self.execute(&call, RequestHeaders::default(), in_doubt);
+        run.map(|_| ())
     }
 
     /// Lists all runs.
@@ -216,7 +225,7 @@
                 "" => "/runs".to_owned(),
                 token => format!("/runs?page_token={token}"),
             };
-            let page: RunList = self.request(Method::Get, &path)?;
+            let page: RunList = self.read(&path)?;
             all.extend(page.runs);
             if page.next_page_token.is_empty() || all.len() >= MAX_LISTED_RUNS {
                 return Ok(all);
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -148,10 +148,8 @@
     /// Answer to a request that is not answered within [`ANSWER_TIMEOUT`].
     pub fn answer_when_timed_out(&self) -> Answer {
         match self {
-            Self::Submit(_) => Answer::OutcomeUnknown(RETRY_AFTER),
-            Self::Status(_) | Self::Cancel(_) | Self::Log(_) | Self::List(_) => {
-                Answer::RetryAfter(RETRY_AFTER)
-            }
+            Self::Submit(_) | Self::Cancel(_) => Answer::OutcomeUnknown(RETRY_AFTER),
+            Self::Status(_) | Self::Log(_) | Self::List(_) => Answer::RetryAfter(RETRY_AFTER),
         }
     }
 }
@@ -735,6 +733,7 @@
             Pending::Cancel(request_id) => {
                 let answer = match reply {
                     StoreReply::Committed(_) => Answer::Cancelling,
+                    StoreReply::Lost => Answer::OutcomeUnknown(RETRY_AFTER),
                     _ => Answer::RetryAfter(RETRY_AFTER),
                 };
                 self.outputs.push(Output::Answer(request_id, answer));
--- a/crates/workflow/tests/submissions.rs
+++ b/crates/workflow/tests/submissions.rs
@@ -129,6 +129,8 @@
     outages: Vec<(Duration, Duration)>,
     choose_fate: ChooseFate,
     clients: Vec<Client>,
+    /// Answers to requests that are not a client's submission.
+    other_answers: BTreeMap<UserRequestId, Answer>,
     /// Requests that an instance has answered, whether or not the answer arrived.
     answered: BTreeSet<UserRequestId>,
     queue: BTreeMap<(Duration, u64), Event>,
@@ -155,6 +157,7 @@
             outages: Vec::new(),
             choose_fate,
             clients: Vec::new(),
+            other_answers: BTreeMap::new(),
             answered: BTreeSet::new(),
             queue: BTreeMap::new(),
             seq: 0,
@@ -192,18 +195,29 @@
         client
     }
 
+    /// Sends a request to the first instance.
+    fn send_request(&mut self, request: UserRequest) -> UserRequestId {
+        self.seq += 1;
+        let request_id = self.seq;
+        let input = Input::UserRequest(request_id, request);
+        self.input(0, self.instances[0].incarnation, input);
+        request_id
+    }
+
     fn schedule(&mut self, after: Duration, event: Event) {
         self.seq += 1;
         self.queue.insert((self.now + after, self.seq), event);
     }
 
     fn run(&mut self, end: Duration) {
-        while let Some(((at, _), event)) = self.queue.pop_first()
-            && at < end
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 < end
         {
-            self.now = at;
+            self.now = entry.key().0;
+            let event = entry.remove();
             self.handle_event(event);
         }
+        self.now = end;
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -288,8 +302,11 @@
             }
             Output::Answer(request, answer) => {
                 let mut clients = self.clients.iter();
-                if let Some(client) = clients.position(|c| c.request == Some(request)) {
-                    self.client_answered(client, request, answer);
+                match clients.position(|c| c.request == Some(request)) {
+                    Some(client) => self.client_answered(client, request, answer),
+                    None => {
+                        self.other_answers.insert(request, answer);
+                    }
                 }
                 return;
             }
@@ -445,13 +462,14 @@
     }
 }
 
-fn writes_run_record(call: &StoreCall) -> bool {
+/// Whether a call writes a key with this prefix.
+fn writes(call: &StoreCall, prefix: &str) -> bool {
     let StoreCall::Txn(txn) = call else {
         return false;
     };
     txn.changes
         .iter()
-        .any(|c| matches!(c, Change::Put { key, .. } if key.starts_with("wf/r/")))
+        .any(|c| matches!(c, Change::Put { key, .. } if key.starts_with(prefix)))
 }
 
 /// Draws what happens to requests to the state service: this share of them is lost, or only their
@@ -496,7 +514,7 @@
     for fate in fates.chain(late) {
         for count in 1..4 {
             let mut remaining = count;
-            let choose_fate = move |_, call: &StoreCall| match writes_run_record(call) {
+            let choose_fate = move |_, call: &StoreCall| match writes(call, "wf/r/") {
                 true if remaining > 0 => {
                     remaining -= 1;
                     fate
@@ -649,3 +667,42 @@
     );
     assert_eq!(simulation.read_items("wf/r/").len(), max_runs);
 }
+
+/// Guards against a cancellation that is answered with status 503 although only the answer to its
+/// write was lost, so that a run is cancelled that its user was told is not.
+#[test]
+fn a_cancellation_whose_write_got_no_answer_is_not_called_refused() {
+    let fates = [Fate::Answered, Fate::AnswerLost, Fate::Lost].into_iter();
+    for fate in fates.chain((1..16).map(|s| Fate::ExecutedLate(S * s))) {
+        let choose_fate = move |_, call: &StoreCall| match writes(call, "wf/c/") {
+            true => fate,
+            false => Fate::Answered,
+        };
+        let mut simulation = Simulation::new(1, 5, Box::new(choose_fate));
+        let client = simulation.add_client(SETTLED, None);
+        simulation.run(S * 20);
+        let run = simulation.clients[client].started().expect("a run");
+        let request = simulation.send_request(UserRequest::Cancel(run));
+        simulation.run(S * 60);
+        let expected = match fate {
+            Fate::Answered => Answer::Cancelling,
+            _ => Answer::OutcomeUnknown(S * 5),
+        };
+        assert_eq!(
+            simulation.other_answers.get(&request),
+            Some(&expected),
+            "{fate:?}"
+        );
+    }
+    // In an outage nothing is executed, and a repeat is safe.
+    let mut simulation = Simulation::new(1, 5, Box::new(|_, _| Fate::Answered));
+    let client = simulation.add_client(SETTLED, None);
+    simulation.run(S * 20);
+    let run = simulation.clients[client].started().expect("a run");
+    simulation.outages = vec![(S * 20, S * 25)];
+    let request = simulation.send_request(UserRequest::Cancel(run));
+    simulation.run(S * 60);
+    let answer = simulation.other_answers.get(&request);
+    assert_eq!(answer, Some(&Answer::RetryAfter(S * 5)));
+    assert!(simulation.read_items("wf/c/").is_empty());
+}
