Pieces of an interrupted write are not jobs of a run

Callers saw: nothing yet. In simulated time a run whose job records take several transactions never ends after a crash between them, as it submits a job that awaits ids which are never submitted.

Cause: the run's record, in the last part, commits the pieces before it, but a load took every piece that it found.

Change: the record tells how many pieces count. Earlier records have no number; all their pieces count, as before.

The new test (a crash at each 10 ms around the write) fails with the sources of before at 5.11 s.

--- a/crates/workflow/examples/measure.rs
+++ b/crates/workflow/examples/measure.rs
@@ -75,6 +75,7 @@
         pieces: 1,
         outputs: 0,
         failure: None,
+        job_pieces: None,
         idempotency_key: None,
     };
     let process = load::load(&bundle, &bundle.main).expect("a valid example");
--- a/crates/workflow/src/active.rs
+++ b/crates/workflow/src/active.rs
@@ -146,12 +146,13 @@
         seed: u64,
     ) -> Result<Self, String> {
         let StoredRun {
-            record,
+            mut record,
             bundle,
             jobs,
             job_pieces,
             ..
         } = whole;
+        record.job_pieces = Some(job_pieces as u32);
         let flow = Run::new(process, &bundle.inputs, Engine::default());
         let flow = flow.map_err(|f| f.to_string())?;
         let jobs = jobs.into_iter().map(|record| {
@@ -317,6 +318,7 @@
                 return None;
             }
         }
+        record.job_pieces = Some(self.job_pieces as u32);
         // The run's record is part of every write. Its new version makes later writes of an
         // instance that has lost the run fail.
         changes.push(put_record(run_key('r', self.id), &record));
--- a/crates/workflow/src/records.rs
+++ b/crates/workflow/src/records.rs
@@ -123,6 +123,10 @@
     pub outputs: u32,
     /// Step that failed, and the reason.
     pub failure: Option<(String, String)>,
+    /// Number of records that hold the run's jobs; further ones belong to a write that was not
+    /// completed. `None` in records of earlier versions, whose job records all count.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub job_pieces: Option<u32>,
     /// Key that the client submitted the run with.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub idempotency_key: Option<IdempotencyKey>,
--- a/crates/workflow/src/run_loading.rs
+++ b/crates/workflow/src/run_loading.rs
@@ -93,6 +93,9 @@
                 if more {
                     return LoadProgress::More(Self::Jobs(stored_run, all), page('j', last));
                 }
+                if let Some(count) = stored_run.record.job_pieces {
+                    all.truncate(count as usize);
+                }
                 let jobs: Option<Vec<Vec<JobRecord>>> = all.iter().map(parse_record).collect();
                 let Some(jobs) = jobs else {
                     let reason = "the stored job records cannot be parsed".to_owned();
--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -546,6 +546,7 @@
             pieces: 0,
             outputs: 0,
             failure: None,
+            job_pieces: Some(0),
             idempotency_key: identity.as_ref().map(|i| i.key().clone()),
         };
         let invalid_reason = if text.len() > MAX_BUNDLE_BYTES {
--- a/crates/workflow/src/sweep/tests.rs
+++ b/crates/workflow/src/sweep/tests.rs
@@ -15,6 +15,7 @@
         pieces: 2,
         outputs: 1,
         failure: None,
+        job_pieces: None,
         idempotency_key: "once".parse().ok(),
     };
     sweeps.consider(id, &record, 149);
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -96,6 +96,11 @@
     violations: Vec<String>,
     sabotage: Option<Sabotage>,
     retention: Duration,
+    /// Maximum number of changes in a transaction of the instances, and size of a value in bytes.
+    txn_ops: usize,
+    value_bytes: usize,
+    /// Time at which the first instance crashes.
+    crash_at: Option<Duration>,
 }
 
 impl World {
@@ -130,6 +135,9 @@
             violations: Vec::new(),
             sabotage,
             retention: S * 100_000,
+            txn_ops: 6,
+            value_bytes: 2 * 1024,
+            crash_at: None,
         }
     }
 
@@ -208,12 +216,18 @@
                 write_rps: 20.0,
             });
         }
+        if self.crash_at.is_some_and(|at| self.now >= at) {
+            self.crash_at = None;
+            self.crash(0, S);
+        }
         for n in 0..self.instances.len() {
             let instance = &mut self.instances[n];
             if instance.service.is_none() && self.now >= instance.restart_at {
                 let seed = self.rng.u64(..);
                 let settings = Settings {
                     retention: self.retention,
+                    txn_ops: self.txn_ops,
+                    value_bytes: self.value_bytes,
                     ..Self::settings(n)
                 };
                 let mut service = Service::new(settings, seed);
@@ -221,10 +235,8 @@
                 instance.service = Some(service);
                 instance.incarnation += 1;
             } else if self.faults.crashes && self.now < S * 200 && self.rng.f64() < 0.004 {
-                instance.service = None;
-                instance.incarnation += 1;
                 let away = S * self.rng.u32(1..12);
-                self.instances[n].restart_at = self.now + away;
+                self.crash(n, away);
             }
             let incarnation = self.instances[n].incarnation;
             self.schedule(Duration::ZERO, Event::Input(n, incarnation, Input::Tick));
@@ -234,6 +246,14 @@
         self.check_run_records();
     }
 
+    /// Ends an instance, which is started again after this time.
+    fn crash(&mut self, n: usize, away: Duration) {
+        let instance = &mut self.instances[n];
+        instance.service = None;
+        instance.incarnation += 1;
+        instance.restart_at = self.now + away;
+    }
+
     fn send_user_requests(&mut self) {
         let due = |user_requests: &VecDeque<(Duration, UserRequest)>, now| {
             user_requests.iter().position(|(at, _)| *at <= now)
@@ -897,3 +917,39 @@
         id_collision_rate,
     );
 }
+
+/// One run on one instance, whose job records take several transactions.
+fn world_with_small_writes(seed: u64) -> World {
+    let mut world = World::new(seed, Faults::default(), 1, None);
+    world.txn_ops = 2;
+    world.value_bytes = 1024;
+    let bundle = Box::new(Submission::from(example("waveform-to-catalog")));
+    world
+        .user_requests
+        .push_back((S * 5, UserRequest::Submit(bundle)));
+    world
+}
+
+/// Plays a world for each of these times and describes the first one that breaks a rule.
+fn first_violation(
+    times_ms: impl Iterator<Item = u32>,
+    set_up: impl Fn(&mut World, Duration),
+) -> Option<(u32, Vec<String>)> {
+    times_ms.into_iter().find_map(|ms| {
+        let mut world = world_with_small_writes(u64::from(ms));
+        set_up(&mut world, MS * ms);
+        let mut world = world.run(S * 120);
+        world.check_outcome();
+        (!world.violations.is_empty()).then_some((ms, world.violations))
+    })
+}
+
+/// Guards against a run that never ends because a crash interrupted the write of its jobs: the part
+/// that was written names jobs that await others under ids that were never recorded.
+#[test]
+fn a_part_of_an_interrupted_write_does_not_count_as_jobs_of_the_run() {
+    let violation = first_violation((5_000..7_000).step_by(10), |world, crash_at| {
+        world.crash_at = Some(crash_at);
+    });
+    assert_eq!(violation, None);
+}
