A late part of a run's write cannot change the jobs that are recorded

Callers saw: nothing yet. In simulated time a step's job is submitted under two ids if the first part of the write of its record gets no answer, is carried out between the parts of the write that replaces it, and the instance crashes afterwards.

Cause: that the stored state is as before was taken to mean that the lost part was not executed. All parts depended on the same version of the run's record, which only the last one wrote.

Change: each part writes the record, unchanged but in the last one, and the next part depends on the version that it got. The removal of a run, which frees its idempotency key, depends on the record too: carried out late it could have removed the key of another run.

--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -1,14 +1,14 @@
 //! An instance of the workflow service: advances the runs of the ranges that it holds.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
 use oliveshift_wire::{
     IdempotencyKey, JobId,
     job::JobSpec,
-    state::{Cond, Item, Txn},
+    state::{Change, Cond, Item, Txn},
 };
 
 #[cfg(feature = "sabotage")]
@@ -224,8 +224,8 @@
     CancelScan,
     RunScan(u32),
     Load(RunId, LoadStage),
-    /// Write for a run, with the transactions that follow it.
-    Write(RunId, Vec<Txn>),
+    /// Write for a run, with the changes of the transactions that follow it.
+    Write(RunId, VecDeque<Vec<Change>>),
     Job(RunId, JobKey, bool),
     Results(RunId, JobKey),
     Text(RunId, String),
@@ -665,7 +665,7 @@
                             continue;
                         };
                         if record.state.is_final() {
-                            self.sweeps.consider(id, &record, unix_s);
+                            self.sweeps.consider(id, &record, item.version, unix_s);
                         } else if !self.creating.contains_key(&id) {
                             self.runs.entry(id).or_insert(HeldRun::ToLoad(now));
                         }
@@ -846,16 +846,15 @@
         &mut self,
         now: Duration,
         id: RunId,
-        mut rest: Vec<Txn>,
+        rest: VecDeque<Vec<Change>>,
         reply: StoreReply,
     ) {
         match (self.runs.get_mut(&id), reply) {
-            (Some(HeldRun::Active(..)), StoreReply::Committed(_)) if !rest.is_empty() => {
-                let txn = rest.remove(0);
-                self.call_store(Pending::Write(id, rest), StoreCall::Txn(txn));
-            }
             (Some(HeldRun::Active(run, version)), StoreReply::Committed(revision)) => {
                 *version = revision;
+                if !rest.is_empty() {
+                    return self.write_part(id, revision, rest);
+                }
                 run.write_committed();
                 if run.record().state.is_final() {
                     self.runs.remove(&id);
@@ -962,6 +961,16 @@
         self.answer_submission(id, creation, &answer);
     }
 
+    /// Sends the first of several parts of a write for a run.
+    fn write_part(&mut self, id: RunId, version: u64, mut parts: VecDeque<Vec<Change>>) {
+        if let Some(conds) = self.run_conditions(id, version)
+            && let Some(changes) = parts.pop_front()
+        {
+            let call = StoreCall::Txn(Txn { conds, changes });
+            self.call_store(Pending::Write(id, parts), call);
+        }
+    }
+
     /// Performs all due work within the request budgets.
     fn advance(&mut self, now: Duration, unix_s: u64) {
         let held: BTreeSet<u32> = self.ranges.held().collect();
@@ -1060,8 +1069,8 @@
                     let call = StoreCall::Page { prefix, after };
                     self.call_store(Pending::SweepList(id), call);
                 }
-                Some(SweepStep::Remove(id, changes)) => {
-                    let mut conds = Vec::new();
+                Some(SweepStep::Remove(id, cond, changes)) => {
+                    let mut conds: Vec<Cond> = cond.into_iter().collect();
                     if !self.add_fence(id.range, &mut conds) {
                         self.sweeps.removal_answered(id, None);
                         continue;
@@ -1093,7 +1102,7 @@
                 let version = *version;
                 if let Some(conds) = self.run_conditions(id, version) {
                     let call = StoreCall::Txn(Txn { conds, changes });
-                    self.call_store(Pending::Write(id, Vec::new()), call);
+                    self.call_store(Pending::Write(id, VecDeque::new()), call);
                 }
             }
             Some(HeldRun::Active(run, version)) => {
@@ -1120,18 +1129,10 @@
         }
         match action {
             Action::Write(changes) => {
-                if let Some(conds) = self.run_conditions(id, version) {
-                    // The run's record comes last; until it is written, the run's recorded
-                    // state does not change.
-                    let mut txns: Vec<Txn> = changes
-                        .chunks(self.max_txn_changes())
-                        .map(|changes| Txn {
-                            conds: conds.clone(),
-                            changes: changes.to_vec(),
-                        })
-                        .collect();
-                    let first = txns.remove(0);
-                    self.call_store(Pending::Write(id, txns), StoreCall::Txn(first));
+                if let Some(HeldRun::Active(run, _)) = self.runs.get(&id) {
+                    let unchanged = put_record(run_key('r', id), run.record());
+                    let parts = split_write(changes, &unchanged, self.max_txn_changes());
+                    self.write_part(id, version, parts);
                 }
             }
             Action::Submit(key, spec) => {
@@ -1157,3 +1158,23 @@
         }
     }
 }
+
+/// Splits a write for a run into transactions of at most `max_changes` changes. The last change, the
+/// run's record, is in the last one; the others write the record as it is. So each transaction gives
+/// the record a new version, on which the next one depends, and none can be executed late between
+/// those of a later write.
+fn split_write(
+    mut changes: Vec<Change>,
+    unchanged_record: &Change,
+    max_changes: usize,
+) -> VecDeque<Vec<Change>> {
+    let mut parts = VecDeque::new();
+    while changes.len() > max_changes.max(1) {
+        let part = max_changes.saturating_sub(1).max(1);
+        let rest = changes.split_off(part);
+        changes.push(unchanged_record.clone());
+        parts.push_back(std::mem::replace(&mut changes, rest));
+    }
+    parts.push_back(changes);
+    parts
+}
--- a/crates/workflow/src/sweep.rs
+++ b/crates/workflow/src/sweep.rs
@@ -1,10 +1,11 @@
 //! Removes ended runs after the retention period: pieces first, the run's own record last, so
 //! that an interrupted sweep is resumed when the record is read again. The record of the run's
-//! idempotency key is removed together with it: from then on the key may be another run's.
+//! idempotency key is removed together with it: from then on the key may be another run's, so that
+//! the removal depends on the run's record.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use oliveshift_wire::state::{Change, Item};
+use oliveshift_wire::state::{Change, Cond, Item};
 
 use crate::records::{RunId, RunRecord, piece_key, run_key, submission_key};
 
@@ -16,8 +17,8 @@
 pub enum SweepStep {
     /// List the records of the run's jobs, after a key.
     ListJobs(RunId, Option<String>),
-    /// Delete these keys.
-    Remove(RunId, Vec<Change>),
+    /// Delete these keys, on this condition if there is one.
+    Remove(RunId, Option<Cond>, Vec<Change>),
 }
 
 #[derive(Debug)]
@@ -26,6 +27,8 @@
     keys: Vec<String>,
     /// Keys to remove together, once all pieces are removed.
     final_keys: Vec<String>,
+    /// Version of the run's record.
+    version: u64,
     /// Key after which the list of jobs continues, `Some(None)` at its start; `None` once all job
     /// keys are known.
     list_after: Option<Option<String>>,
@@ -50,7 +53,7 @@
 
     /// Starts the removal of a run if its retention period is over and the limit of concurrent
     /// sweeps allows it.
-    pub fn consider(&mut self, id: RunId, record: &RunRecord, unix_s: u64) {
+    pub fn consider(&mut self, id: RunId, record: &RunRecord, version: u64, unix_s: u64) {
         let expires_s = record.ended_s.map(|ended| ended + self.retention.as_secs());
         if !record.state.is_final() || expires_s.is_none_or(|at_s| unix_s < at_s) {
             return;
@@ -65,6 +68,7 @@
         let sweep = Sweep {
             keys,
             final_keys: submission.into_iter().chain([run_key('r', id)]).collect(),
+            version,
             list_after: Some(None),
             in_flight: false,
         };
@@ -79,12 +83,16 @@
             return Some(SweepStep::ListJobs(*id, after.clone()));
         }
         let from = sweep.keys.len().saturating_sub(max_changes);
-        let keys: Vec<String> = match sweep.keys.is_empty() {
-            true => sweep.final_keys.clone(),
-            false => sweep.keys[from..].iter().rev().cloned().collect(),
+        let unchanged = Cond {
+            key: run_key('r', *id),
+            version: sweep.version,
+        };
+        let (cond, keys): (_, Vec<String>) = match sweep.keys.is_empty() {
+            true => (Some(unchanged), sweep.final_keys.clone()),
+            false => (None, sweep.keys[from..].iter().rev().cloned().collect()),
         };
         let changes = keys.into_iter().map(|key| Change::Delete { key }).collect();
-        Some(SweepStep::Remove(*id, changes))
+        Some(SweepStep::Remove(*id, cond, changes))
     }
 
     /// Adds a page of job keys, with whether more follow. `None` means that the read failed.
--- a/crates/workflow/src/sweep/tests.rs
+++ b/crates/workflow/src/sweep/tests.rs
@@ -18,13 +18,13 @@
         job_pieces: None,
         idempotency_key: "once".parse().ok(),
     };
-    sweeps.consider(id, &record, 149);
+    sweeps.consider(id, &record, 7, 149);
     assert_eq!(sweeps.next_step(3), None);
     record.state = RunState::Failing;
-    sweeps.consider(id, &record, 500);
+    sweeps.consider(id, &record, 7, 500);
     assert_eq!(sweeps.next_step(3), None);
     record.state = RunState::ExecutorError;
-    sweeps.consider(id, &record, 150);
+    sweeps.consider(id, &record, 7, 150);
     assert_eq!(sweeps.next_step(3), Some(SweepStep::ListJobs(id, None)));
     assert_eq!(sweeps.next_step(3), None);
     let job = Item {
@@ -34,8 +34,16 @@
     };
     sweeps.jobs_listed(id, Some((&[job], false)));
     let mut removed = Vec::new();
-    while let Some(SweepStep::Remove(_, changes)) = sweeps.next_step(4) {
+    while let Some(SweepStep::Remove(_, cond, changes)) = sweeps.next_step(4) {
         sweeps.removal_answered(id, Some(changes.len()));
+        // Executed late, the last removal must not remove the key of another run.
+        let is_key = |c: &Change| matches!(c, Change::Delete { key } if key == "wf/k/once");
+        let removes_key = changes.iter().any(is_key);
+        let unchanged = Cond {
+            key: run_key('r', id),
+            version: 7,
+        };
+        assert_eq!(cond, removes_key.then_some(unchanged));
         removed.extend(changes.into_iter().map(|c| match c {
             Change::Delete { key } => key,
             other => panic!("{other:?}"),
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -10,7 +10,7 @@
 use oliveshift_wire::{
     JobId, decode, encode,
     job::{JobPhase, JobSpec, JobStatus},
-    state::Item,
+    state::{Change, Item},
 };
 use oliveshift_workflow::{
     active::{JobReply, Sabotage},
@@ -99,6 +99,8 @@
     /// Maximum number of changes in a transaction of the instances, and size of a value in bytes.
     txn_ops: usize,
     value_bytes: usize,
+    /// Time after which the first transaction with records of jobs is executed, without an answer.
+    late_job_write: Option<Duration>,
     /// Time at which the first instance crashes.
     crash_at: Option<Duration>,
 }
@@ -137,6 +139,7 @@
             retention: S * 100_000,
             txn_ops: 6,
             value_bytes: 2 * 1024,
+            late_job_write: None,
             crash_at: None,
         }
     }
@@ -306,6 +309,11 @@
         let second = self.now.as_secs();
         match output {
             Output::Store(call, request) => {
+                if writes_jobs(&request)
+                    && let Some(after) = self.late_job_write.take()
+                {
+                    latency = after;
+                }
                 *self.store_requests_by_second.entry(second).or_default() += 1;
                 self.schedule(
                     S * 2,
@@ -679,6 +687,14 @@
     }
 }
 
+fn writes_jobs(request: &StoreCall) -> bool {
+    let StoreCall::Txn(txn) = request else {
+        return false;
+    };
+    let mut changes = txn.changes.iter();
+    changes.any(|c| matches!(c, Change::Put { key, .. } if key.starts_with("wf/j/")))
+}
+
 fn simulate(
     seed: u64,
     faults: Faults,
@@ -953,3 +969,16 @@
     });
     assert_eq!(violation, None);
 }
+
+/// Guards against a step that runs twice because a part of a write whose answer was lost is executed
+/// between the parts of the write that replaces it: the records then name other jobs than those that
+/// were submitted, and whoever loads the run next submits these.
+#[test]
+fn a_late_part_of_a_write_does_not_change_the_jobs_of_a_run() {
+    let violation = first_violation((2_000..3_500).step_by(5), |world, late| {
+        world.late_job_write = Some(late);
+        // The jobs are submitted by then, and none has ended.
+        world.crash_at = Some(S * 5 + late + MS * 1_500);
+    });
+    assert_eq!(violation, None);
+}
