--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -1,221 +1,43 @@
 //! An instance of the workflow service: advances the runs of the ranges that it holds.
 
+mod messages;
+mod submissions;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
-use oliveshift_wire::{
-    IdempotencyKey, JobId,
-    job::JobSpec,
-    state::{Change, Cond, Item, Txn},
-};
+use oliveshift_wire::state::{Change, Cond, Txn};
 
 #[cfg(feature = "sabotage")]
 use crate::active::Sabotage;
 use crate::{
     active::{self, ActiveRun, JobReply},
     budget::Budget,
-    creation::{CreationProgress, RunCreation},
+    creation::RunCreation,
     documents::DocumentCache,
     flow::JobKey,
-    job::TaskResult,
     ranges::{self, Ranges},
     records::{
-        Bundle, RunId, RunRecord, RunState, StoredRun, parse_record, piece_key, put_record,
-        put_text, range_key, run_id_of_key, run_key, split_text,
+        RunId, RunRecord, RunState, parse_record, put_record, put_text, range_key, run_id_of_key,
+        run_key,
     },
     run_loading::{LoadProgress, LoadStage},
     submission::SubmissionIdentity,
     sweep::{SweepStep, Sweeps},
 };
 
-/// Identifies a request that the instance sent; the reply carries the same id.
-pub type CallId = u64;
-/// Identifies a request of a user; the answer carries the same id.
-pub type UserRequestId = u64;
+pub(crate) use messages::RETRY_AFTER;
+pub use messages::{
+    ANSWER_TIMEOUT, Answer, CallId, Input, MAX_BUNDLE_BYTES, Output, Settings, StoreCall,
+    StoreReply, Submission, UserRequest, UserRequestId,
+};
 
 /// Interval between scans for cancellation requests.
 const CANCEL_SCAN_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between scans of a range for runs that this instance has not loaded.
 const RUN_SCAN_INTERVAL: Duration = Duration::from_secs(10);
-/// Retry delay given to users whose request cannot be handled now.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(5);
-/// Time after which a request that is not answered gets [`UserRequest::answer_when_timed_out`].
-pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum size of a submitted document with its inputs, in bytes.
-pub const MAX_BUNDLE_BYTES: usize = 4 << 20;
-
-/// Settings of an instance.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Name of the instance; unique among instances.
-    pub name: String,
-    /// Number of ranges that runs are divided into. Must be the same for all instances and never
-    /// change.
-    pub ranges: u32,
-    /// Lease duration: time without contact after which other instances take over.
-    pub lease: Duration,
-    /// Maximum requests per second to the user API.
-    pub calls_per_s: f64,
-    /// Maximum requests per second to the state service.
-    pub store_per_s: f64,
-    /// Maximum changes per second written to the state service.
-    pub writes_per_s: f64,
-    /// Maximum number of open runs.
-    pub max_runs: usize,
-    /// Maximum size of a stored value, in bytes of its JSON form.
-    pub value_bytes: usize,
-    /// Maximum number of changes in a transaction.
-    pub txn_ops: usize,
-    /// Time for which ended runs are kept.
-    pub retention: Duration,
-}
-
-/// A request to the state service.
-#[derive(Clone, Debug, PartialEq)]
-pub enum StoreCall {
-    /// Read a page of the keys below a prefix, after a key.
-    Page {
-        /// Prefix of the keys.
-        prefix: String,
-        /// Last key of the previous page.
-        after: Option<String>,
-    },
-    /// Execute a transaction.
-    Txn(Txn),
-    /// Grant a lease of this duration.
-    LeaseGrant(Duration),
-    /// Renew a lease.
-    LeaseRenewal(u64),
-}
-
-/// Reply of the state service.
-#[derive(Clone, Debug, PartialEq)]
-pub enum StoreReply {
-    /// Items, and whether more follow.
-    Page(Vec<Item>, bool),
-    /// The transaction was committed in this revision.
-    Committed(u64),
-    /// The transaction was not executed: a condition did not hold or its lease has expired.
-    ConditionFailed,
-    /// The lease with this id was granted.
-    LeaseGranted(u64),
-    /// The lease was renewed, or no longer exists.
-    LeaseRenewed(bool),
-    /// Not executed, for example because of a rate limit or an outage.
-    Refused,
-    /// No answer: the request may have been executed, or may still be.
-    Lost,
-}
-
-/// A run that a user submits.
-#[derive(Clone, Debug)]
-pub struct Submission {
-    /// Document and inputs.
-    pub bundle: Bundle,
-    /// Key by which a repeat of the submission is recognized. A submission without a key always
-    /// starts a run.
-    pub idempotency_key: Option<IdempotencyKey>,
-}
-
-impl From<Bundle> for Submission {
-    /// A submission without a key.
-    fn from(bundle: Bundle) -> Self {
-        Self {
-            bundle,
-            idempotency_key: None,
-        }
-    }
-}
-
-/// A request of a user.
-#[derive(Clone, Debug)]
-pub enum UserRequest {
-    /// Start a run.
-    Submit(Box<Submission>),
-    /// Return the status of a run.
-    Status(RunId),
-    /// Cancel a run.
-    Cancel(RunId),
-    /// Return everything that is stored about a run.
-    Log(RunId),
-    /// List runs, after the key that the previous page ended with.
-    List(Option<String>),
-}
-
-impl UserRequest {
-    /// Answer to a request that is not answered within [`ANSWER_TIMEOUT`].
-    pub fn answer_when_timed_out(&self) -> Answer {
-        match self {
-            Self::Submit(_) | Self::Cancel(_) => Answer::OutcomeUnknown(RETRY_AFTER),
-            Self::Status(_) | Self::Log(_) | Self::List(_) => Answer::RetryAfter(RETRY_AFTER),
-        }
-    }
-}
-
-/// Answer to a request of a user.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    /// The run was recorded under this id and will be executed. A repeat of a submission gets the
-    /// id of the run that was started first.
-    Started(RunId),
-    /// The idempotency key was sent with another document or other inputs before.
-    KeyReused,
-    /// The document or its inputs are invalid, for this reason.
-    Invalid(String),
-    /// Status of a run.
-    Status(Box<RunRecord>),
-    /// Everything that is stored about a run.
-    Log(Box<StoredRun>),
-    /// Runs with their records, and the key after which the list continues, if it does.
-    Runs(Vec<(RunId, RunRecord)>, Option<String>),
-    /// The cancellation request was recorded.
-    Cancelling,
-    /// The run does not exist.
-    Unknown,
-    /// The request was not executed and will not be; retry after this time.
-    RetryAfter(Duration),
-    /// The request may have been executed, or may still be. Its outcome can be looked up after
-    /// this time.
-    OutcomeUnknown(Duration),
-}
-
-/// Input of an instance.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// Time has passed.
-    Tick,
-    /// Reply of the state service.
-    Store(CallId, StoreReply),
-    /// Reply of the user API.
-    Job(CallId, JobReply),
-    /// Results of a job's tasks; `None` if they are not available now.
-    Results(CallId, Option<Vec<TaskResult>>),
-    /// Beginning of a file; `None` if there is no such file.
-    Text(CallId, Option<String>),
-    /// Request of a user.
-    UserRequest(UserRequestId, UserRequest),
-}
-
-/// Output of an instance: a request to send or an answer to return.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// Send a request to the state service.
-    Store(CallId, StoreCall),
-    /// Submit a job to the user API.
-    Submit(CallId, Box<JobSpec>),
-    /// Request the status of a job.
-    Poll(CallId, JobId),
-    /// Cancel a job.
-    Abort(CallId, JobId),
-    /// Fetch the results of a job with this number of tasks.
-    Results(CallId, JobId, u32),
-    /// Fetch the beginning of a file.
-    Text(CallId, String),
-    /// Answer a request of a user.
-    Answer(UserRequestId, Answer),
-}
 
 /// Purpose of a request in flight.
 #[derive(Debug)]
@@ -456,148 +278,6 @@
         }
     }
 
-    /// Starts to record a submitted run, unless it is recognized as a repeat.
-    fn submit(
-        &mut self,
-        now: Duration,
-        unix_s: u64,
-        request_id: UserRequestId,
-        submission: Submission,
-    ) {
-        let Submission {
-            bundle,
-            idempotency_key,
-        } = submission;
-        let identity = idempotency_key.map(|key| SubmissionIdentity::new(key, &bundle));
-        #[cfg(feature = "sabotage")]
-        let identity = identity.filter(|_| self.sabotage != Some(Sabotage::KeysIgnored));
-        if let Some(identity) = &identity
-            && self.join_creation(request_id, identity)
-        {
-            return;
-        }
-        let held_ranges: Vec<u32> = self.ranges.held().collect();
-        let full = self.runs.len() + self.creating.len() >= self.settings.max_runs;
-        let Some(range) = self.rng.choice(held_ranges).filter(|_| !full) else {
-            return self.find_submission(now, request_id, identity);
-        };
-        let id = RunId {
-            range,
-            number: self.rng.u64(..),
-        };
-        log::info!("{id}: submission received as request {request_id}");
-        self.begin_creation(now, unix_s, request_id, id, bundle, identity);
-    }
-
-    /// Adds a request to the creation of a run that was submitted with the same key. Returns false
-    /// if there is none.
-    fn join_creation(&mut self, request_id: UserRequestId, identity: &SubmissionIdentity) -> bool {
-        let has_key = |c: &RunCreation| c.identity().is_some_and(|i| i.key() == identity.key());
-        let Some((id, creation)) = self.creating.iter_mut().find(|(_, c)| has_key(c)) else {
-            return false;
-        };
-        if creation.identity() == Some(identity) {
-            log::info!("{id}: request {request_id} repeats its submission");
-            creation.add_request(request_id);
-        } else {
-            let answer = Answer::KeyReused;
-            self.outputs.push(Output::Answer(request_id, answer));
-        }
-        true
-    }
-
-    /// Answers a submission that cannot be recorded now: a repeat gets the run that was recorded
-    /// before.
-    fn find_submission(
-        &mut self,
-        now: Duration,
-        request_id: UserRequestId,
-        identity: Option<SubmissionIdentity>,
-    ) {
-        let identity = identity.filter(|_| self.store_budget.available(now) > 0);
-        let Some(identity) = identity else {
-            let answer = Answer::RetryAfter(RETRY_AFTER);
-            return self.outputs.push(Output::Answer(request_id, answer));
-        };
-        let call = StoreCall::Page {
-            prefix: identity.record_key(),
-            after: None,
-        };
-        self.call_store(Pending::FindSubmission(request_id, identity), call);
-    }
-
-    /// Checks a submitted document and prepares the writes for its run: first the document and
-    /// inputs, then the run's record.
-    fn begin_creation(
-        &mut self,
-        now: Duration,
-        unix_s: u64,
-        request_id: UserRequestId,
-        id: RunId,
-        bundle: Bundle,
-        identity: Option<SubmissionIdentity>,
-    ) {
-        let text = serde_json::to_string(&bundle).unwrap_or_default();
-        let piece_bytes = self.settings.value_bytes;
-        let mut record = RunRecord {
-            state: RunState::Running,
-            begun_s: unix_s,
-            ended_s: None,
-            pieces: 0,
-            outputs: 0,
-            failure: None,
-            job_pieces: Some(0),
-            idempotency_key: identity.as_ref().map(|i| i.key().clone()),
-        };
-        let invalid_reason = if text.len() > MAX_BUNDLE_BYTES {
-            Some(format!(
-                "the document and its inputs are larger than {MAX_BUNDLE_BYTES} bytes"
-            ))
-        } else {
-            let process = self.documents.read(&bundle);
-            let stored_run = StoredRun::new(record.clone(), bundle);
-            let run = process.and_then(|p| ActiveRun::new(id, &p, stored_run, piece_bytes, 0));
-            run.err()
-        };
-        if let Some(invalid_reason) = invalid_reason {
-            return self
-                .outputs
-                .push(Output::Answer(request_id, Answer::Invalid(invalid_reason)));
-        }
-        let pieces = split_text(&text, piece_bytes);
-        record.pieces = pieces.len() as u32;
-        let changes: Vec<_> = pieces
-            .into_iter()
-            .enumerate()
-            .map(|(i, text)| put_text(piece_key('t', id, i), text))
-            .collect();
-        let mut conds = Vec::new();
-        let claim_version = self.ranges.version(id.range);
-        let Some(claim_version) = claim_version.filter(|_| self.add_fence(id.range, &mut conds))
-        else {
-            let answer = Answer::RetryAfter(RETRY_AFTER);
-            return self.outputs.push(Output::Answer(request_id, answer));
-        };
-        conds.extend(identity.as_ref().map(SubmissionIdentity::absent));
-        let mut txns: Vec<Txn> = changes
-            .chunks(self.max_txn_changes())
-            .map(|changes| Txn {
-                conds: conds.clone(),
-                changes: changes.to_vec(),
-            })
-            .collect();
-        conds.push(Cond {
-            key: run_key('r', id),
-            version: 0,
-        });
-        let submission_record = identity.as_ref().map(|identity| identity.put(id));
-        let changes = [put_record(run_key('r', id), &record)].into_iter();
-        let changes = changes.chain(submission_record).collect();
-        txns.push(Txn { conds, changes });
-        let creation = RunCreation::new(now, request_id, identity, claim_version, txns);
-        self.creating.insert(id, creation);
-    }
-
     /// Maximum number of changes per transaction. A transaction may take at most 64 KiB,
     /// independent of the size limit of values.
     fn max_txn_changes(&self) -> usize {
@@ -877,90 +557,6 @@
         }
     }
 
-    fn creation_answered(&mut self, now: Duration, id: RunId, reply: &StoreReply) {
-        let Some(creation) = self.creating.get_mut(&id) else {
-            return;
-        };
-        match creation.write_answered(reply) {
-            CreationProgress::Incomplete => {}
-            CreationProgress::Recorded => {
-                if let Some(creation) = self.creating.remove(&id) {
-                    self.run_recorded(now, id, &creation);
-                }
-            }
-            CreationProgress::ConditionFailed => self.settle_creation(id),
-        }
-    }
-
-    /// Answers a submission whose run is recorded.
-    fn run_recorded(&mut self, now: Duration, id: RunId, creation: &RunCreation) {
-        // The run is loaded from its records, as after a crash.
-        self.runs.entry(id).or_insert(HeldRun::ToLoad(now));
-        self.answer_submission(id, creation, &Answer::Started(id));
-    }
-
-    /// Answers the requests that submitted a run.
-    fn answer_submission(&mut self, id: RunId, creation: &RunCreation, answer: &Answer) {
-        for request_id in creation.request_ids() {
-            log::info!("{id}: request {request_id} is answered {answer:?}");
-            self.outputs
-                .push(Output::Answer(*request_id, answer.clone()));
-        }
-    }
-
-    /// Ends a creation whose conditions no longer hold. A read decides if an earlier write of the
-    /// run's record may have been executed, or if the key may be that of a run recorded before.
-    fn settle_creation(&mut self, id: RunId) {
-        let Some(creation) = self.creating.remove(&id) else {
-            return;
-        };
-        let prefix = match creation.identity() {
-            Some(identity) => identity.record_key(),
-            None if creation.may_be_recorded() => run_key('r', id),
-            None => return self.abandon_creation(id, &creation),
-        };
-        let call = StoreCall::Page {
-            prefix,
-            after: None,
-        };
-        self.call_store(Pending::SettleCreation(id, creation), call);
-    }
-
-    /// Applies the read of a submission's records after its creation has ended.
-    fn creation_settled(
-        &mut self,
-        now: Duration,
-        id: RunId,
-        creation: &RunCreation,
-        reply: StoreReply,
-    ) {
-        let StoreReply::Page(items, _) = reply else {
-            return self.abandon_creation(id, creation);
-        };
-        let answer = match creation.identity() {
-            Some(identity) => identity.answer(&items),
-            None => {
-                let key = run_key('r', id);
-                let mut items = items.iter();
-                items.find(|i| i.key == key).map(|_| Answer::Started(id))
-            }
-        };
-        match answer {
-            Some(Answer::Started(recorded)) if recorded == id => {
-                self.run_recorded(now, id, creation);
-            }
-            Some(answer) => self.answer_submission(id, creation, &answer),
-            None => self.abandon_creation(id, creation),
-        }
-    }
-
-    /// Answers a submission whose run could not be recorded. If its record was written all the
-    /// same, the next scan of the range finds the run.
-    fn abandon_creation(&mut self, id: RunId, creation: &RunCreation) {
-        let answer = creation.answer_when_abandoned();
-        self.answer_submission(id, creation, &answer);
-    }
-
     /// Sends the first of several parts of a write for a run.
     fn write_part(&mut self, id: RunId, version: u64, mut parts: VecDeque<Vec<Change>>) {
         if let Some(conds) = self.run_conditions(id, version)
@@ -1027,36 +623,6 @@
         }
     }
 
-    fn advance_creations(&mut self, now: Duration) {
-        // Oldest first, so that as few as possible are given up with a part of their pieces written.
-        let mut ids: Vec<_> = self.creating.keys().copied().collect();
-        ids.sort_by_key(|id| self.creating.get(id).map(RunCreation::deadline));
-        for id in ids {
-            let Some(creation) = self.creating.get_mut(&id) else {
-                continue;
-            };
-            if creation.is_expired(now) && !creation.is_in_flight() {
-                if let Some(creation) = self.creating.remove(&id) {
-                    self.abandon_creation(id, &creation);
-                }
-                continue;
-            }
-            if creation.is_in_flight() {
-                continue;
-            }
-            if self.ranges.version(id.range) != Some(creation.claim_version()) {
-                self.settle_creation(id);
-                continue;
-            }
-            // Submitters wait, so their writes come before those of runs, on credit.
-            let within_budget =
-                self.store_budget.available(now) > 0 && self.write_budget.available(now) > 0;
-            if within_budget && let Some(txn) = creation.next_txn() {
-                self.call_store(Pending::Create(id), StoreCall::Txn(txn));
-            }
-        }
-    }
-
     /// Removes runs whose retention period is over, with what remains of the budgets.
     fn advance_sweeps(&mut self, now: Duration) {
         let max_txn_changes = self.max_txn_changes();
