A body that is shorter than announced is a lost answer

Callers saw: 'sent an answer that is not valid for WES', exit code 5, after a connection broke within the answer to a submission that had been started.

Cause: the HTTP client reads a body to the end of the connection and did not compare its length with the one announced, so half an answer came up with status 200.

Change: such an answer counts as lost, and the submission is repeated under its key. Controllers use the same client; for a transaction of the state service a body that can't be read was an unknown outcome already (by reading).

--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt};
 use http_types::{
-    Method as HttpMethod, Request, Url,
+    Method as HttpMethod, Request, StatusCode, Url,
     headers::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
 };
 use oliveshift_core::{Call, Method, Reply, sockets::OutboundKind};
@@ -223,8 +223,13 @@
         Some(Duration::from_secs(seconds))
     });
     let status = u16::from(response.status());
+    let expected_len = response.len();
     let mut body = Vec::new();
     response.take_body().read_to_end(&mut body).await?;
+    if expected_len.is_some_and(|expected| body.len() < expected) {
+        let message = "the connection was closed within the answer's body";
+        return Err(http_types::Error::from_str(StatusCode::BadGateway, message));
+    }
     Ok(ExchangeResult {
         reply: Reply::Answer { status, body },
         reusable: !close,
--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -754,8 +754,10 @@
     RequestCut,
     /// It passes the request on and closes the connection without the answer.
     AnswerLost,
-    /// It passes a part of the answer back, then closes the connection.
+    /// It passes a part of the answer's head back, then closes the connection.
     AnswerCut,
+    /// It passes the answer back but its last byte, then closes the connection.
+    BodyCut,
     /// It passes the request and the answer on.
     None,
 }
@@ -791,17 +793,17 @@
     }
     server.write_all(&request)?;
     let mut answer = vec![0; 64 * 1024];
-    let len = server.read(&mut answer)?;
+    let mut len = server.read(&mut answer)?;
+    // The rest of an answer whose head and body come apart.
+    server.set_read_timeout(Some(Duration::from_millis(200)))?;
+    while let Ok(more @ 1..) = server.read(&mut answer[len..]) {
+        len += more;
+    }
     match fault {
         ConnectionFault::RequestCut | ConnectionFault::AnswerLost => Ok(()),
         ConnectionFault::AnswerCut => client.write_all(&answer[..BYTES_BEFORE_CUT]),
-        ConnectionFault::None => {
-            client.write_all(&answer[..len])?;
-            server.set_read_timeout(Some(Duration::from_millis(200)))?;
-            let mut rest = Vec::new();
-            let _ = server.read_to_end(&mut rest);
-            client.write_all(&rest)
-        }
+        ConnectionFault::BodyCut => client.write_all(&answer[..len - 1]),
+        ConnectionFault::None => client.write_all(&answer[..len]),
     }
 }
 
@@ -839,6 +841,7 @@
         ConnectionFault::RequestCut,
         ConnectionFault::AnswerLost,
         ConnectionFault::AnswerCut,
+        ConnectionFault::BodyCut,
         ConnectionFault::None,
     ];
     let proxy = start_proxy(wf.addr, faults).to_string();
