Runs keep a quarter of the writes while submissions wait

A flood of submissions that is larger than the write rate then stopped all runs until it was over: no job was submitted between 10 and 30 s of it (20 and 20). Submissions take three quarters of the writes at most; the new test fails without the share and passes with it, and many_runs_stay_within_the_request_budgets holds with both.

--- a/crates/workflow/src/service.rs
+++ b/crates/workflow/src/service.rs
@@ -38,6 +38,8 @@
 const CANCEL_SCAN_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between scans of a range for runs that this instance has not loaded.
 const RUN_SCAN_INTERVAL: Duration = Duration::from_secs(10);
+/// Maximum share of the writes that record submissions, so that runs go on meanwhile.
+const CREATION_WRITE_SHARE: f64 = 0.75;
 
 /// Purpose of a request in flight.
 #[derive(Debug)]
@@ -104,6 +106,8 @@
     creating: BTreeMap<RunId, RunCreation>,
     store_budget: Budget,
     write_budget: Budget,
+    /// Share of the write budget for submissions.
+    creation_budget: Budget,
     job_budget: Budget,
     /// Run that was advanced last, for round-robin scheduling.
     last_advanced: Option<RunId>,
@@ -124,6 +128,7 @@
             ranges: Ranges::new(&settings.name, start, settings.ranges, settings.lease),
             store_budget: Budget::new(settings.store_per_s),
             write_budget: Budget::new(settings.writes_per_s),
+            creation_budget: Budget::new(settings.writes_per_s * CREATION_WRITE_SHARE),
             job_budget: Budget::new(settings.calls_per_s),
             documents: DocumentCache::default(),
             sweeps: Sweeps::new(settings.retention),
--- a/crates/workflow/src/service/submissions.rs
+++ b/crates/workflow/src/service/submissions.rs
@@ -270,9 +270,11 @@
                 continue;
             }
             // Submitters wait, so their writes come before those of runs, on credit.
-            let within_budget =
-                self.store_budget.available(now) > 0 && self.write_budget.available(now) > 0;
+            let within_budget = self.store_budget.available(now) > 0
+                && self.write_budget.available(now) > 0
+                && self.creation_budget.available(now) > 0;
             if within_budget && let Some(txn) = creation.next_txn() {
+                self.creation_budget.charge(txn.changes.len());
                 self.call_store(Pending::Create(id), StoreCall::Txn(txn));
             }
         }
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -781,6 +781,24 @@
     assert!(complete > 200, "{complete}");
 }
 
+/// Guards against runs that stand still while submissions take all writes: further jobs are
+/// recorded and submitted while more is submitted than can be recorded.
+#[test]
+fn runs_go_on_while_more_is_submitted_than_can_be_recorded() {
+    let submitted_jobs = |end: Duration| {
+        let mut world = World::new(6, Faults::default(), 1, None);
+        let bundle = Box::new(Submission::from(example("waveform-to-catalog")));
+        for i in 0..600 {
+            let at = S * 5 + MS * 50 * i;
+            let request = UserRequest::Submit(bundle.clone());
+            world.user_requests.push_back((at, request));
+        }
+        world.run(end).jobs.len()
+    };
+    let (before, after) = (submitted_jobs(S * 15), submitted_jobs(S * 35));
+    assert!(before > 0 && after > before, "{before} {after}");
+}
+
 /// Ended runs are removed completely after the retention period, even if instances crash
 /// meanwhile.
 #[test]
