Starts, stops, ends and forgotten attempts are logged with term and session

Cause: the records of an incident (a task ran on two machines) could not tell from the controllers' logs which attempt was started where under which term, what carried the start, why its end was settled, and when the worker was told to forget it. All of that was logged at debug or not at all.

Change: one line at info for each start (attempt, machine, carrier, session, term, age of contact, proof of absence), each stop, each end with its cause, and each order to forget. No change of behaviour.

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -396,12 +396,16 @@
             }
             return;
         }
-        self.attempt_ended(name, task, entry.cause.unwrap_or(EndCause::Error));
+        let cause = entry.cause.unwrap_or(EndCause::Error);
+        log::info!(
+            "{task}: attempt {} on {name} ended in session {session}: {cause:?}",
+            entry.attempt
+        );
+        self.attempt_ended(name, task, cause);
     }
 
     /// Handles the end of an attempt on the machine that the task is bound to.
     fn attempt_ended(&mut self, name: &str, task: &TaskId, why: EndCause) {
-        log::debug!("{task}: ended on {name}: {why:?}");
         let now = self.now;
         let mut wait = Duration::ZERO;
         let shape = self.assigned_tasks.get(task).map(|s| s.spec.shape);
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -1,8 +1,7 @@
 //! Orders to workers, sent with answers to their reports or directly.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
-use log::Level;
 use oliveshift_wire::{
     TaskId, decode, encode,
     worker::{DirectOrders, Order, Report, TaskReport, TaskState},
@@ -28,6 +27,18 @@
 /// Delay before the next attempt when no socket is available.
 const SOCKET_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// What carries an order: the answer to the report of this number, or direct orders (0).
+struct Carrier(u64);
+
+impl fmt::Display for Carrier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            0 => f.write_str("direct orders"),
+            seq => write!(f, "the answer to report {seq}"),
+        }
+    }
+}
+
 impl Controller {
     /// Orders for the answer to the report numbered `seq`: all that still apply, since
     /// orders may be repeated.
@@ -80,6 +91,13 @@
                     attempt,
                 });
             }
+            if !stop.sent {
+                log::info!(
+                    "{task}: stopping attempt {attempt} on {name}, session {}, term {}",
+                    machine.session,
+                    machine.term,
+                );
+            }
             stop.sent = true;
             orders.push(Order::Stop {
                 task: task.clone(),
@@ -91,6 +109,13 @@
             let bound = self.assigned_tasks.get(&entry.task).and_then(|s| s.bound());
             let here = bound.is_some_and(|b| b.machine == name && b.attempt == entry.attempt);
             if entry.state != TaskState::Exited && !here {
+                log::info!(
+                    "{}: stopping attempt {} on {name}, which is not the current one, session {}, term {}",
+                    entry.task,
+                    entry.attempt,
+                    machine.session,
+                    machine.term,
+                );
                 orders.push(Order::Stop {
                     task: entry.task.clone(),
                     attempt: entry.attempt,
@@ -119,7 +144,15 @@
         };
         let forgotten = machine.tasks.iter().filter(may_forget);
         forgotten
-            .inspect(|entry| log::debug!("{}: {name} may forget the ended attempt", entry.task))
+            .inspect(|entry| {
+                log::info!(
+                    "{}: attempt {} is to be forgotten by {name}, session {}, term {}",
+                    entry.task,
+                    entry.attempt,
+                    machine.session,
+                    machine.term,
+                );
+            })
             .map(|entry| Order::Forget {
                 task: entry.task.clone(),
                 attempt: entry.attempt,
@@ -163,13 +196,9 @@
             }
             return None;
         }
-        let level = match bound.evidence.and_then(|e| e.silent_until()) {
-            Some(_) => Level::Info,
-            None => Level::Debug,
-        };
-        log::log!(
-            level,
-            "{task}: starting attempt {attempt} on {name}, session {}, term {}, contact {:.1?} ago, proof of absence: {}",
+        log::info!(
+            "{task}: starting attempt {attempt} on {name} by {}, session {}, term {}, contact {:.1?} ago, proof of absence: {}",
+            Carrier(carried_by),
             bound.session,
             machine.term,
             self.contact_age().unwrap_or_default(),
