Attempts are forgotten under a higher token than their direct start had

A direct start had been executed and answered, the attempt had ended, and its worker had been told to forget it. A copy of the start arrived 2.8 s later under the same token and session, and the worker started the attempt again while the task ran elsewhere under its next attempt.

Cause: "answered" was taken for proof that a start can no longer take effect. Attempt::may_forget asked only about direct starts in flight or without an answer. The protocol executes direct orders as long as token and session match, however late, and a worker that has forgotten an attempt starts it anew. The class: an attempt is released on evidence that does not fence what could still bring it back.

No simulated fault could show it before, as a direct order was repeated only in place of its answer.

Change: a holder remembers the token that each direct start was sent under, for the session, and orders a worker to forget an attempt only under a higher one, which the worker has seen when it executes the order. Higher tokens need no write: all numbers from the version of the block's record up to the newest revision at which the record is known unchanged belong to its holder alone. Attempts that run though they were proven to be over are a violated invariant. Switch EarlyForget turns the guard off.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -112,7 +112,8 @@
     StillBound,
     /// The task's completion is not recorded.
     NotRecorded,
-    /// A start may still arrive and would run the attempt again.
+    /// A direct start that is not fenced may still arrive, or a copy of one that was
+    /// executed, and would run the attempt again.
     MayStartLate,
 }
 
@@ -153,8 +154,14 @@
         Ok(())
     }
 
-    /// Whether the worker may forget an attempt that it lists.
-    pub fn may_forget(&self, entry: &TaskReport) -> Result<(), ForgetRefusal> {
+    /// Whether the worker may forget an attempt that it lists, by an order under the fencing
+    /// token `token`.
+    ///
+    /// The worker has seen that token when it executes the order, so it rejects direct starts
+    /// under lower ones from then on: those of earlier holders, as each term is higher than
+    /// the one before, and those of this controller before it raised the token. Starts in
+    /// answers to reports are not executed late.
+    pub fn may_forget(&self, entry: &TaskReport, token: u64) -> Result<(), ForgetRefusal> {
         if entry.state != TaskState::Exited {
             return Err(ForgetRefusal::Alive);
         }
@@ -168,7 +175,7 @@
         if entry.cause == Some(EndCause::Done) && done {
             return Err(ForgetRefusal::NotRecorded);
         }
-        if self.machine.may_start_late(&entry.task, entry.attempt) {
+        if self.machine.direct_starts.may_pass(entry, token) {
             return Err(ForgetRefusal::MayStartLate);
         }
         Ok(())
--- a/crates/core/src/attempt/tests.rs
+++ b/crates/core/src/attempt/tests.rs
@@ -6,6 +6,7 @@
 use crate::{assigned_tasks::Stop, fixtures::job_spec, records::MachineRecord};
 
 const ATTEMPT: u64 = 7;
+const TOKEN: u64 = 5;
 
 fn task() -> TaskId {
     "j-1/0".parse().expect("a task")
@@ -93,18 +94,19 @@
 #[test]
 fn only_ends_that_are_recorded_and_can_not_come_again_are_forgotten() {
     let done = || entry(TaskState::Exited, Some(EndCause::Done));
-    let decides = |entry: TaskReport, assigned: Option<AssignedTask>, starts_late: bool| {
+    let decides_under = |token, entry: TaskReport, assigned: Option<AssignedTask>, direct| {
         let mut machine = machine();
-        if starts_late {
-            machine.unanswered_starts.insert((task(), ATTEMPT));
+        if direct {
+            machine.direct_starts.sent(task(), ATTEMPT, TOKEN);
         }
         let attempt = Attempt {
             machine: &machine,
             name: "vm-1",
             assigned: assigned.as_ref(),
         };
-        attempt.may_forget(&entry)
+        attempt.may_forget(&entry, token)
     };
+    let decides = |entry, assigned, direct| decides_under(TOKEN, entry, assigned, direct);
     assert_eq!(decides(done(), None, false), Ok(()));
     let running = decides(entry(TaskState::Running, None), None, false);
     assert_eq!(running, Err(ForgetRefusal::Alive));
@@ -120,6 +122,7 @@
         decides(done(), None, true),
         Err(ForgetRefusal::MayStartLate)
     );
+    assert_eq!(decides_under(TOKEN + 1, done(), None, true), Ok(()));
 }
 
 /// Proof that rests on a worker's silence needs tenure beyond the end of its lease; other
--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -13,8 +13,10 @@
     attempt::AbsenceProof,
     call::ConnId,
     controller::Controller,
+    invariants::Violation,
     lease::LeaseLimits,
     machine::{Machine, SilentWorkers},
+    placement::is_attempt_after,
     records::{BlockId, Term},
 };
 
@@ -25,8 +27,7 @@
 /// A block held by this controller.
 #[derive(Debug)]
 pub(crate) struct HeldBlock {
-    /// Version of the block's record. It is the fencing token that the block's workers
-    /// report.
+    /// Version of the block's record, and the first fencing token of this lease.
     pub term: Term,
     /// Number of tasks in state `Unlocated`.
     pub unlocated: u32,
@@ -122,6 +123,7 @@
                     return;
                 }
                 let mut machine = Machine::new(record, term, self.now);
+                machine.attempts_before = self.attempts;
                 for image in self.last_known_images(name) {
                     let gb = self.image_size(&image);
                     let kind = self.machine_types.get(&machine.record.kind);
@@ -174,8 +176,8 @@
             return self.handle_stray_report(conn, report, block);
         };
         let term = held.term;
-        if report.token > term {
-            // The worker has seen a later term: another controller holds the block, and
+        if self.view.lease_tokens(term).is_exceeded_by(report.token) {
+            // The worker has seen a token of a later lease: another controller holds the block, and
             // this view is behind.
             return self.redirect(conn, None);
         }
@@ -202,19 +204,17 @@
                 return self.refuse(conn, 503, "stale report");
             }
         }
-        let orders = if is_newest {
-            self.orders_in_answer(&name, seq)
-        } else {
-            Vec::new()
+        let answer = match is_newest {
+            true => self.report_answer(&name, seq),
+            false => ReportAnswer {
+                token: self.machines.get(&name).map_or(term, |m| m.order_token),
+                orders: Vec::new(),
+            },
         };
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.lease.renew(self.now);
             machine.last_answer_at = Some(self.now);
         }
-        let answer = ReportAnswer {
-            token: term,
-            orders,
-        };
         self.answer(conn, 200, encode(&answer));
     }
 
@@ -254,7 +254,11 @@
         machine.reclaimed_at = report
             .notice_s
             .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 1e6)));
-        let is_current_term = report.token == machine.term;
+        machine.direct_starts.token_seen(report.token);
+        let is_current_term = self.view.lease_tokens(machine.term).contains(report.token);
+        if is_current_term {
+            machine.order_token = machine.order_token.max(report.token);
+        }
         #[cfg(feature = "sabotage")]
         let is_current_term =
             is_current_term || self.sabotage == Some(crate::Sabotage::NoTermCheck);
@@ -265,7 +269,7 @@
         }
         let term_acknowledged = machine.term_acknowledged;
         let stopped: Vec<TaskId> = if is_new_session && !is_first_session {
-            machine.unanswered_starts.clear();
+            machine.direct_starts.session_ended();
             machine.tasks.clear();
             machine.bound_tasks.iter().cloned().collect()
         } else {
@@ -281,6 +285,7 @@
             self.release_task(&task, AbsenceProof::SessionEnded, Duration::ZERO);
         }
         for entry in &report.tasks {
+            self.check_reappearance(&name, entry);
             self.apply_task_entry(&name, report.session, entry);
         }
         if let Some(machine) = self.machines.get_mut(&name) {
@@ -308,6 +313,31 @@
         true
     }
 
+    /// Checks that a running attempt which this controller started under its present term,
+    /// since the machine was added, is the current attempt of its task, or was listed before.
+    /// A late report of a machine that was returned may list older ones.
+    fn check_reappearance(&mut self, name: &str, entry: &TaskReport) {
+        let Some(machine) = self.machines.get(name) else {
+            return;
+        };
+        let is_own = is_attempt_after(machine.term, machine.attempts_before, entry.attempt);
+        if entry.state == TaskState::Exited || !is_own {
+            return;
+        }
+        let bound = self.assigned_tasks.get(&entry.task).and_then(|s| s.bound());
+        let is_current = bound.is_some_and(|b| b.machine == name && b.attempt == entry.attempt);
+        let is_same = |t: &TaskReport| {
+            t.task == entry.task && t.attempt == entry.attempt && t.state != TaskState::Exited
+        };
+        if !is_current && !machine.tasks.iter().any(is_same) {
+            self.invariants.report(&Violation::AttemptReappeared {
+                task: entry.task.clone(),
+                machine: name.to_owned(),
+                attempt: entry.attempt,
+            });
+        }
+    }
+
     /// Whether a machine has tasks, or results that are not recorded yet. If it were
     /// returned as idle before they are recorded and this controller stopped as well,
     /// the results would be lost and the tasks started again.
@@ -482,7 +512,9 @@
             let Some(bound) = self.assigned_tasks.get(task).and_then(|s| s.bound()) else {
                 continue;
             };
-            if listed(task, bound.attempt) || machine.may_start_late(task, bound.attempt) {
+            if listed(task, bound.attempt)
+                || machine.direct_starts.may_take_effect(task, bound.attempt)
+            {
                 continue;
             }
             match bound.unlisted(seq, origin) {
--- a/crates/core/src/invariants.rs
+++ b/crates/core/src/invariants.rs
@@ -53,6 +53,16 @@
         /// The proof of absence.
         evidence: AbsenceProof,
     },
+    /// A worker runs an attempt that this controller started under its present term and that
+    /// was proven to be over.
+    AttemptReappeared {
+        /// The task.
+        task: TaskId,
+        /// The machine.
+        machine: String,
+        /// The attempt.
+        attempt: u64,
+    },
     /// A task was assigned here again under the term under which it was started here,
     /// without proof that the earlier attempt has ended.
     AssignedAgain {
@@ -96,6 +106,14 @@
                 f,
                 "attempt {attempt} of {task} was about to start on the proof \"{evidence}\", but the block is not proven to have been held long enough"
             ),
+            Self::AttemptReappeared {
+                task,
+                machine,
+                attempt,
+            } => write!(
+                f,
+                "attempt {attempt} of {task} is on {machine} again, though it was proven to be over"
+            ),
             Self::AssignedAgain {
                 task,
                 machine,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod cloud;
 mod controller;
 mod failed_placements;
+mod fencing;
 #[cfg(test)]
 mod fixtures;
 mod fleet;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -38,15 +38,16 @@
             return self.redirect(conn, Some(holder));
         }
         let lease = (block, term);
+        let tokens = self.view.lease_tokens(term);
         let action = self
             .reachability
-            .record_stray(self.now, &report, lease, &holder);
+            .record_stray(self.now, &report, block, tokens, &holder);
         log::debug!(
             "{}: stray: reported here although {holder} holds it",
             report.machine
         );
-        let forwards =
-            report.token <= term && self.reachability.cannot_reach_holder(&report.machine);
+        let forwards = !tokens.is_exceeded_by(report.token)
+            && self.reachability.cannot_reach_holder(&report.machine);
         if forwards && self.forward_to_holder(conn, &report, lease, &holder, action) {
             return;
         }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -1,13 +1,18 @@
 //! State that a holder keeps of each machine in its blocks.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashSet},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use oliveshift_wire::{TaskId, cloud::MachineType, worker::TaskReport};
+use oliveshift_wire::{
+    TaskId,
+    cloud::MachineType,
+    worker::{TaskReport, TaskState},
+};
 
 use crate::{
+    fencing::{DirectStarts, LeaseTokens, MAX_RETAINED_ATTEMPTS},
     lease::{LeaseLimits, LeaseStatus, Tenure, WorkerLease},
     records::{BlockId, MachineRecord, Term},
 };
@@ -19,12 +24,17 @@
     pub block: BlockId,
     /// The term under which this controller holds the block.
     pub term: Term,
+    /// Number of attempts that this controller had given out when the machine was added.
+    pub attempts_before: u64,
     /// Session and sequence number of the worker's newest message; 0 before the first.
     pub session: u64,
     pub seq: u64,
     /// The fencing token in the worker's newest message.
     pub token: u64,
-    /// The worker has reported this holder's term as its token. Orders of earlier
+    /// The fencing token that orders to the worker carry: of this controller's lease of the
+    /// block.
+    pub order_token: u64,
+    /// The worker has reported a token of this controller's lease. Orders of earlier
     /// holders can no longer take effect, and attempts that it does not list are not
     /// on the machine.
     pub term_acknowledged: bool,
@@ -46,11 +56,8 @@
     pub images: Vec<(String, f64)>,
     /// Direct orders are in flight.
     pub orders_in_flight: bool,
-    /// The attempts that they start.
-    pub starts_in_flight: Vec<(TaskId, u64)>,
-    /// Attempts whose start went with direct orders that got no answer. They may still
-    /// start, so the worker must not forget them in this session.
-    pub unanswered_starts: HashSet<(TaskId, u64)>,
+    /// Starts sent with direct orders, answered or not.
+    pub direct_starts: DirectStarts,
     /// Earliest time for the next direct orders.
     pub next_orders_at: Duration,
     /// Number of consecutive direct orders without an answer.
@@ -72,9 +79,11 @@
             block: record.block,
             record,
             term,
+            attempts_before: 0,
             session: 0,
             seq: 0,
             token: 0,
+            order_token: term,
             term_acknowledged: false,
             lease: WorkerLease::new(now),
             last_message_at: None,
@@ -84,8 +93,7 @@
             bound_tasks: BTreeSet::new(),
             images: Vec::new(),
             orders_in_flight: false,
-            starts_in_flight: Vec::new(),
-            unanswered_starts: HashSet::new(),
+            direct_starts: DirectStarts::default(),
             next_orders_at: Duration::ZERO,
             unanswered_orders: 0,
             idle_since: Some(now),
@@ -106,10 +114,30 @@
         now.saturating_sub(self.last_message_at.unwrap_or(self.lease.since()))
     }
 
-    /// Whether a start of the attempt that was sent with direct orders may still arrive.
-    pub fn may_start_late(&self, task: &TaskId, attempt: u64) -> bool {
-        let same = |(t, a): &(TaskId, u64)| t == task && *a == attempt;
-        self.starts_in_flight.iter().any(same) || self.unanswered_starts.iter().any(same)
+    /// Number of ended attempts that the worker must not forget under the present token, as a
+    /// late copy of their direct start would run them again.
+    pub fn retained_attempts(&self) -> usize {
+        let is_retained = |entry: &&TaskReport| {
+            entry.state == TaskState::Exited && self.direct_starts.may_pass(entry, self.order_token)
+        };
+        self.tasks.iter().filter(is_retained).count()
+    }
+
+    /// Whether starts may be sent with direct orders. Those sent with answers to reports never
+    /// arrive late.
+    pub fn allows_direct_starts(&self) -> bool {
+        self.retained_attempts() < MAX_RETAINED_ATTEMPTS
+    }
+
+    /// Raises the token of orders, if one is available. Direct orders in flight carry the
+    /// present token and would be rejected.
+    pub fn raise_order_token(&mut self, tokens: LeaseTokens) {
+        if self.orders_in_flight {
+            return;
+        }
+        if let Some(token) = tokens.above(self.order_token) {
+            self.order_token = token;
+        }
     }
 
     /// Records an image as cached and most recently used; evicts the least recently used
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -4,7 +4,7 @@
 
 use oliveshift_wire::{
     TaskId, decode, encode,
-    worker::{DirectOrders, Order, Report, TaskReport, TaskState},
+    worker::{DirectOrders, Order, Report, ReportAnswer, TaskReport, TaskState},
 };
 
 use crate::{
@@ -12,6 +12,7 @@
     attempt::{AbsenceProof, Attempt, StartRefusal},
     call::{Method, Reply, Target},
     controller::{Controller, Pending},
+    fencing::ATTEMPTS_BEFORE_RAISE,
     invariants::Violation,
     machine::Machine,
     records::Term,
@@ -40,11 +41,37 @@
 }
 
 impl Controller {
-    /// Orders for the answer to the report numbered `seq`: all that still apply, since
-    /// orders may be repeated.
-    pub(crate) fn orders_in_answer(&mut self, name: &str, seq: u64) -> Vec<Order> {
+    /// The answer to a worker's newest report, numbered `seq`: all orders that still apply,
+    /// since orders may be repeated.
+    pub(crate) fn report_answer(&mut self, name: &str, seq: u64) -> ReportAnswer {
+        let token = self.answer_token(name);
+        let orders = self.orders_in_answer(name, seq, token);
+        ReportAnswer { token, orders }
+    }
+
+    /// The fencing token for an answer. It is raised when the worker lists several ended
+    /// attempts that it may forget under a higher one only.
+    fn answer_token(&mut self, name: &str) -> u64 {
+        let view = &self.view;
+        let Some(machine) = self.machines.get_mut(name) else {
+            return 0;
+        };
+        let retained = machine.retained_attempts();
+        if retained >= ATTEMPTS_BEFORE_RAISE {
+            machine.raise_order_token(view.lease_tokens(machine.term));
+            log::info!(
+                "{name}: {retained} ended attempts await a higher token; token {}, term {}, newest revision {}",
+                machine.order_token,
+                machine.term,
+                view.revision,
+            );
+        }
+        machine.order_token
+    }
+
+    fn orders_in_answer(&mut self, name: &str, seq: u64, token: u64) -> Vec<Order> {
         let mut orders = self.stop_orders(name, true);
-        orders.extend(self.forget_orders(name));
+        orders.extend(self.forget_orders(name, token));
         let Some(machine) = self.machines.get(name) else {
             return orders;
         };
@@ -80,7 +107,7 @@
                 continue;
             }
             if !bound.listed {
-                if !include_sent || !machine.may_start_late(task, attempt) {
+                if !include_sent || !machine.direct_starts.may_take_effect(task, attempt) {
                     continue;
                 }
                 // A start that may still arrive can't be withdrawn. Sent along with the
@@ -127,9 +154,8 @@
     }
 
     /// Forget orders for ended attempts whose outcome is recorded or not needed and of
-    /// which no start can arrive any more. A start that arrives after the worker forgot
-    /// the attempt would run it again.
-    fn forget_orders(&self, name: &str) -> Vec<Order> {
+    /// which no start can take effect once the worker has seen `token`.
+    fn forget_orders(&self, name: &str, token: u64) -> Vec<Order> {
         let Some(machine) = self.machines.get(name) else {
             return Vec::new();
         };
@@ -140,17 +166,26 @@
                 name,
                 assigned,
             };
-            attempt.may_forget(entry).is_ok()
+            let decision = attempt.may_forget(entry, token);
+            #[cfg(feature = "sabotage")]
+            let decision = match decision {
+                Err(crate::attempt::ForgetRefusal::MayStartLate)
+                    if self.sabotage == Some(crate::Sabotage::EarlyForget) =>
+                {
+                    Ok(())
+                }
+                decision => decision,
+            };
+            decision.is_ok()
         };
         let forgotten = machine.tasks.iter().filter(may_forget);
         forgotten
             .inspect(|entry| {
                 log::info!(
-                    "{}: attempt {} is to be forgotten by {name}, session {}, term {}",
+                    "{}: attempt {} is to be forgotten by {name}, session {}, token {token}",
                     entry.task,
                     entry.attempt,
                     machine.session,
-                    machine.term,
                 );
             })
             .map(|entry| Order::Forget {
@@ -239,11 +274,13 @@
                 continue;
             }
             let probe = !machine.is_cleared();
-            let (token, session) = (machine.term, machine.session);
+            let (term, token, session) = (machine.term, machine.order_token, machine.session);
+            let allows_starts = machine.allows_direct_starts();
             let addr = machine.record.addr.clone();
             let mut orders = self.stop_orders(&name, false);
             let mut starts = Vec::new();
-            let bound = self.machines.get(&name).map(|m| m.bound_tasks.clone());
+            let bound = self.machines.get(&name).filter(|_| allows_starts);
+            let bound = bound.map(|m| m.bound_tasks.clone());
             for task in bound.into_iter().flatten() {
                 let bound = self.assigned_tasks.get(&task).and_then(|s| s.bound());
                 if bound.is_none_or(|b| b.start_sent_with.is_some() || b.stop.is_some()) {
@@ -259,7 +296,9 @@
             }
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.orders_in_flight = true;
-                machine.starts_in_flight = starts.clone();
+                for (task, attempt) in &starts {
+                    machine.direct_starts.sent(task.clone(), *attempt, token);
+                }
                 if probe {
                     machine.next_orders_at = now + ORDERS_BACKOFF;
                 }
@@ -272,7 +311,7 @@
             let pending = Pending::Orders {
                 machine: name,
                 starts,
-                term: token,
+                term,
                 unresponsive,
             };
             self.call(
@@ -300,7 +339,6 @@
             return;
         }
         machine.orders_in_flight = false;
-        machine.starts_in_flight.clear();
         self.order_queue.insert(name.to_owned());
         let is_answered = matches!(reply, Reply::Answer { .. });
         if !is_answered {
@@ -315,14 +353,15 @@
             Reply::Answer { status, body } if matches!(status, 200 | 409) => {
                 let is_executed = *status == 200;
                 let Ok(report) = decode::<Report>(body) else {
-                    return self.record_unanswered_starts(name, starts);
+                    return;
                 };
                 if report.machine != name {
                     // The address now belongs to another machine.
                     self.mark_unsent(name, starts);
                     return;
                 }
-                if report.token > term {
+                let tokens = self.view.lease_tokens(term);
+                if tokens.is_exceeded_by(report.token) {
                     return;
                 }
                 let previous_session = machine.session;
@@ -345,26 +384,21 @@
             }
             Reply::Answer { .. } | Reply::Lost => {
                 machine.next_orders_at = backed_off_until;
-                self.record_unanswered_starts(name, starts);
+                #[cfg(feature = "sabotage")]
+                if self.sabotage == Some(crate::Sabotage::NoLateStarts) {
+                    self.mark_unsent(name, starts);
+                }
             }
         }
     }
 
-    /// Notes that the starts may still be executed in the current session.
-    fn record_unanswered_starts(&mut self, name: &str, starts: &[(TaskId, u64)]) {
-        #[cfg(feature = "sabotage")]
-        if self.sabotage == Some(crate::Sabotage::NoLateStarts) {
-            return self.mark_unsent(name, starts);
-        }
-        if let Some(machine) = self.machines.get_mut(name) {
-            machine.unanswered_starts.extend(starts.iter().cloned());
-        }
-    }
-
     /// Marks starts as not sent that were certainly not executed, so that they are sent
     /// again. Tasks that must stop are released instead.
     fn mark_unsent(&mut self, name: &str, starts: &[(TaskId, u64)]) {
         for (task, attempt) in starts {
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.direct_starts.not_executed(task, *attempt);
+            }
             let Some(assigned) = self.assigned_tasks.get_mut(task) else {
                 continue;
             };
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -30,6 +30,12 @@
 /// Attempt numbers are the term times this value plus a counter below it.
 const ATTEMPTS_PER_TERM: u64 = 1 << 20;
 
+/// Whether the holder of a block under `term` gave out an attempt number after the first
+/// `count` ones. Those of gangs derive from the version of a chunk's record.
+pub(crate) fn is_attempt_after(term: Term, count: u64, attempt: u64) -> bool {
+    attempt / ATTEMPTS_PER_TERM == term && attempt % ATTEMPTS_PER_TERM > count
+}
+
 impl Controller {
     /// Places the tasks that have no machine yet, in order of priority.
     pub(crate) fn place(&mut self) {
--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -42,6 +42,7 @@
 
 use crate::{
     call::ConnId,
+    fencing::LeaseTokens,
     records::{BlockId, Term},
 };
 use block_liveness::{BlockLiveness, chance_silence_limit};
@@ -239,11 +240,13 @@
         &mut self,
         now: Duration,
         report: &Report,
-        (block, term): (BlockId, Term),
+        block: BlockId,
+        tokens: LeaseTokens,
         holder: &str,
     ) -> StrayAction {
+        let term = tokens.term();
         let machine = &report.machine;
-        let knows_term = report.token == term;
+        let knows_term = tokens.contains(report.token);
         let settled = knows_term && self.is_settled(now, block);
         let fresh = Stray {
             block,
@@ -271,7 +274,7 @@
         let others = self.strays.iter().filter(|(name, s)| {
             *name != machine && s.term == term && s.settled && now < s.at + STRAY_WINDOW
         });
-        if report.token > term || self.peer_messages.is_unheard_by(holder, block) {
+        if tokens.is_exceeded_by(report.token) || self.peer_messages.is_unheard_by(holder, block) {
             StrayAction::AwaitRecords
         } else if repeated || (settled && others.count() > 0) {
             StrayAction::AwaitLease
--- a/crates/core/src/reachability/tests.rs
+++ b/crates/core/src/reachability/tests.rs
@@ -44,15 +44,27 @@
 #[test]
 fn strays_move_the_block_of_a_holder_that_hears_none() {
     let (mut reach, now) = (leader(), ms(60_000));
-    let first = reach.record_stray(now, &report(1, 7), (1, 7), "n-1");
+    let first = reach.record_stray(now, &report(1, 7), 1, LeaseTokens::new(7, 7), "n-1");
     assert_eq!(first, StrayAction::Redirect);
-    let second = reach.record_stray(now + ms(50), &report(2, 7), (1, 7), "n-1");
+    let second = reach.record_stray(
+        now + ms(50),
+        &report(2, 7),
+        1,
+        LeaseTokens::new(7, 7),
+        "n-1",
+    );
     assert_eq!(
         second,
         StrayAction::AwaitLease,
         "another worker of the block has strayed"
     );
-    reach.record_stray(now + ms(90), &report(3, 7), (1, 7), "n-1");
+    reach.record_stray(
+        now + ms(90),
+        &report(3, 7),
+        1,
+        LeaseTokens::new(7, 7),
+        "n-1",
+    );
     let now = now + ms(100);
     assert_eq!(
         reach.blocks_to_move(now, "n-0", &block(26)),
@@ -77,20 +89,20 @@
     let (mut reach, now) = (leader(), ms(60_000));
     // New machines are redirected to their holder by the controller that registers them.
     for machine in 0..9 {
-        let action = reach.record_stray(now, &report(machine, 0), (1, 7), "n-1");
+        let action = reach.record_stray(now, &report(machine, 0), 1, LeaseTokens::new(7, 7), "n-1");
         assert_eq!(action, StrayAction::Redirect);
     }
     // They wait if the holder hears none of the block, and still are no evidence.
     reach.receive_message(now, message(vec![1]));
     for machine in 10..19 {
-        let action = reach.record_stray(now, &report(machine, 0), (1, 7), "n-1");
+        let action = reach.record_stray(now, &report(machine, 0), 1, LeaseTokens::new(7, 7), "n-1");
         assert_eq!(action, StrayAction::AwaitRecords);
     }
     assert_eq!(reach.blocks_to_move(now, "n-0", &block(26)), []);
     // The block has just been leased, so its workers are still looking for the holder.
     reach.record_lease(now, 1, 8);
     for machine in 0..9 {
-        let action = reach.record_stray(now, &report(machine, 8), (1, 8), "n-2");
+        let action = reach.record_stray(now, &report(machine, 8), 1, LeaseTokens::new(8, 8), "n-2");
         assert_eq!(action, StrayAction::Redirect);
     }
     let young = [BlockStatus {
@@ -106,7 +118,7 @@
     let (mut reach, mut now) = (leader(), ms(60_000));
     for round in 0..2 {
         for machine in 0..5 {
-            reach.record_stray(now, &report(machine, 7), (1, 7), "n-1");
+            reach.record_stray(now, &report(machine, 7), 1, LeaseTokens::new(7, 7), "n-1");
         }
         let moves = reach.blocks_to_move(now, "n-0", &block(20));
         assert_eq!(moves.len(), round, "{moves:?}");
@@ -294,7 +306,13 @@
             reach.receive_message(now, message(vec![1]));
         }
         for _ in 0..3 {
-            reach.record_stray(now, &report(rng.usize(0..9), term), (1, term), "n-1");
+            reach.record_stray(
+                now,
+                &report(rng.usize(0..9), term),
+                1,
+                LeaseTokens::new(term, term),
+                "n-1",
+            );
         }
         let statuses = [BlockStatus {
             term,
@@ -324,7 +342,8 @@
             reach.record_stray(
                 now,
                 &report(10 * id as usize + machine, term),
-                (id, term),
+                id,
+                LeaseTokens::new(term, term),
                 "n-1",
             );
         }
@@ -349,7 +368,7 @@
 #[test]
 fn a_worker_that_knows_a_later_lease_waits_for_the_records() {
     let (mut reach, now) = (leader(), ms(60_000));
-    let action = reach.record_stray(now, &report(1, 8), (1, 7), "n-1");
+    let action = reach.record_stray(now, &report(1, 8), 1, LeaseTokens::new(7, 7), "n-1");
     assert_eq!(action, StrayAction::AwaitRecords);
 }
 
@@ -403,7 +422,7 @@
 #[test]
 fn a_stray_in_a_peers_message_is_known() {
     let (mut reach, now) = (leader(), ms(60_000));
-    reach.record_stray(now, &report(1, 7), (1, 7), "n-1");
+    reach.record_stray(now, &report(1, 7), 1, LeaseTokens::new(7, 7), "n-1");
     let reported = reach.next_message(now, "n-0", 1).expect("a message is due");
     assert!(reach.has_strayed(now, "vm-1") && !reach.has_strayed(now, "vm-2"));
     let mut other = Reachability::new(PERIOD);
@@ -440,7 +459,7 @@
     let (mut reach, now) = (leader(), ms(60_000));
     reach.receive_message(now, message(vec![1]));
     assert_eq!(reach.blocks_to_move(now, "n-0", &block(1)), []);
-    reach.record_stray(now, &report(1, 7), (1, 7), "n-1");
+    reach.record_stray(now, &report(1, 7), 1, LeaseTokens::new(7, 7), "n-1");
     let moves = reach.blocks_to_move(now, "n-0", &block(5));
     assert_eq!(
         (moves.len(), moves.first().map(|m| m.unheard)),
--- a/crates/core/src/sabotage.rs
+++ b/crates/core/src/sabotage.rs
@@ -83,6 +83,9 @@
     StaleForwards,
     /// Direct orders that got no answer count as not executed.
     NoLateStarts,
+    /// Workers forget ended attempts although a copy of their direct start may still take
+    /// effect.
+    EarlyForget,
     /// Assignments whose write got no answer count as not made.
     LostAnswerAsFailure,
     /// A worker's silence counts as the end of its lease, although another holder may
@@ -102,6 +105,7 @@
             Self::FromMemory,
             Self::OldLife,
             Self::NoLateStarts,
+            Self::EarlyForget,
             Self::MixedReads,
             Self::PartialView,
             Self::StaleEvidence,
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -17,11 +17,12 @@
 use rmpv::Value;
 
 use crate::admission_shares::AdmissionRecord;
+use crate::fencing::LeaseTokens;
 use crate::minimum_shares::Flow;
 use crate::records::{
     BlockId, BlockRecord, ChunkRecord, FormatLevel, FormatRecord, JobRecord, Key, LevelRecord,
     MachineListEntry, MachineListRecord, MachineRecord, MemberRecord, Phase, SpecOverflowRecord,
-    TaskStatus, from_value,
+    TaskStatus, Term, from_value,
 };
 
 /// A job as recorded, combined with the state of the jobs that it awaits.
@@ -249,6 +250,11 @@
 }
 
 impl View {
+    /// The fencing tokens of the lease of a block whose record has the version `term`.
+    pub fn lease_tokens(&self, term: Term) -> LeaseTokens {
+        LeaseTokens::new(term, self.revision)
+    }
+
     /// Applies a change. Returns its key, or `None` if the change was already known or
     /// can't be read.
     pub fn apply(&mut self, event: Event) -> Option<Key> {
--- a/crates/testkit/src/draws.rs
+++ b/crates/testkit/src/draws.rs
@@ -49,9 +49,19 @@
         let at = s(rng.u64(15..end.as_secs() - 20));
         faults.extend((0..nodes).map(|node| Fault::Crash { node, at }));
     }
+    faults.push(copied_orders(end));
     faults
 }
 
+/// Late copies of direct orders for the whole run, on top of other faults.
+pub(crate) fn copied_orders(end: Duration) -> Fault {
+    Fault::CopiedOrders {
+        one_in: 2,
+        from: Duration::ZERO,
+        until: end,
+    }
+}
+
 /// Draws the basic faults, a rolling upgrade, and lower limits of the state service some
 /// time after it.
 pub fn draw_rolling_upgrade(seed: u64, nodes: usize, end: Duration) -> Vec<Fault> {
--- a/crates/testkit/src/evidence.rs
+++ b/crates/testkit/src/evidence.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use oliveshift_wire::JobId;
+use oliveshift_wire::{JobId, worker::EndCause};
 
 /// The first answer to a user that shows a job as cancelled.
 #[derive(Clone, Debug)]
@@ -49,6 +49,27 @@
     pub fenced: bool,
 }
 
+/// A start in a copy of direct orders that had been executed and answered before.
+#[derive(Clone, Copy, Debug)]
+pub struct CopiedStart {
+    /// Time of arrival.
+    pub at: Duration,
+    /// How the attempt had ended, if it had.
+    pub ended: Option<EndCause>,
+    /// Whether the worker no longer listed the attempt, because it was told to forget it.
+    pub is_forgotten: bool,
+    /// Whether the worker rejected the copy by its fencing token or session.
+    pub rejected: bool,
+    /// Whether the task was on another machine.
+    pub is_elsewhere: bool,
+    /// Whether the user had been told that the job is cancelled.
+    pub is_cancelled: bool,
+    /// Whether the process that sent the orders had ended and its successor was running.
+    pub sender_restarted: bool,
+    /// Whether no process that started after the sender had ended had reached the worker.
+    pub successor_unheard: bool,
+}
+
 /// Counts and times gathered during a run.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -89,6 +110,8 @@
     pub requests_at_job_end: [usize; 3],
     /// Direct orders that arrived late.
     pub late_orders: Vec<LateOrder>,
+    /// Starts in late copies of direct orders, see [`crate::Fault::CopiedOrders`].
+    pub copied_starts: Vec<CopiedStart>,
     /// Transactions that were executed at once but whose answers were lost.
     pub lost_answers: usize,
     /// Copies of reports that were kept for a new leader and sent to it when it began to
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -333,6 +333,17 @@
         /// End of the fault.
         until: Duration,
     },
+    /// A copy of one in `one_in` direct orders that were executed and answered arrives 1 s to
+    /// 16 s later. It must have no effect, so it does not count as a disturbance when the end
+    /// of the faults is determined.
+    CopiedOrders {
+        /// One in this many is affected.
+        one_in: u32,
+        /// Start of the fault.
+        from: Duration,
+        /// End of the fault.
+        until: Duration,
+    },
     /// Users cancel several running jobs at the same time.
     CancelBurst {
         /// Number of jobs.
@@ -402,6 +413,7 @@
             | Self::ReadAcrossMoves { from, until, .. }
             | Self::SlowState { from, until, .. }
             | Self::DelayedOrders { from, until, .. }
+            | Self::CopiedOrders { from, until, .. }
             | Self::RequestsAtJobEnd { from, until, .. }
             | Self::UnusualRequests { from, until, .. }
             | Self::PeersUnreachable { from, until } => Some(from..until),
@@ -434,6 +446,7 @@
         Fault::LateWrites { until, .. } => until + MAX_WRITE_DELAY,
         Fault::LateReports { until, .. } => until + MAX_REPORT_DELAY,
         Fault::DelayedOrders { until, .. } => until + MAX_ORDER_DELAY,
+        Fault::CopiedOrders { .. } => Duration::ZERO,
         _ => fault.span().map_or(Duration::ZERO, |span| span.end),
     });
     ends.max().unwrap_or_default()
@@ -443,7 +456,8 @@
 pub const MAX_WRITE_DELAY: Duration = Duration::from_secs(12);
 /// Maximum delay of a copied report under [`Fault::LateReports`].
 pub const MAX_REPORT_DELAY: Duration = Duration::from_secs(20);
-/// Maximum delay of a direct order under [`Fault::DelayedOrders`].
+/// Maximum delay of a direct order under [`Fault::DelayedOrders`], and of a copy under
+/// [`Fault::CopiedOrders`].
 pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(16);
 
 /// Maximum delay of a read under [`Fault::ReadAcrossMoves`]; a controller waits 1.5 s for it.
--- a/crates/testkit/src/handover.rs
+++ b/crates/testkit/src/handover.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::{Direction, Fault, Timing};
+use crate::{Direction, Fault, Timing, draws::copied_orders};
 
 const S: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
@@ -50,6 +50,7 @@
         }
         at += S * rng.u32(30..45);
     }
+    faults.push(copied_orders(end));
     faults
 }
 
@@ -129,6 +130,7 @@
             until: end - crate::faults::MAX_WRITE_DELAY,
         },
     });
+    faults.push(copied_orders(end));
     faults
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -28,7 +28,7 @@
     draw, draw_combined_faults, draw_incidents, draw_lag, draw_quick_restarts,
     draw_rolling_upgrade, draw_slow_controllers,
 };
-pub use evidence::Evidence;
+pub use evidence::{CopiedStart, Evidence};
 pub use faults::{Direction, Fault, last_fault_end};
 pub use handover::{draw_handovers, draw_links, draw_timing};
 pub use parallel::run_seeds_in_parallel;
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -38,6 +38,8 @@
     /// A job that cannot run or lacks a field was accepted, or rejected with the wrong
     /// status.
     Unfit,
+    /// A worker started an attempt again that it had been told to forget.
+    RanAnew,
     /// A controller detected a violation of its own invariants.
     Invariant,
     /// A job kept waiting after the last fault although a suitable machine had free capacity
@@ -191,6 +193,17 @@
         zones
     }
 
+    /// Whether a task is on a machine other than the given one.
+    pub fn is_elsewhere(&self, task: &TaskId, machine: &str) -> bool {
+        let on = self.placements.get(task);
+        on.is_some_and(|on| on.keys().any(|name| name != machine))
+    }
+
+    /// Whether a user has been told that a job is cancelled.
+    pub fn is_reported_cancelled(&self, job: &JobId) -> bool {
+        self.reported_cancelled_at.contains_key(job)
+    }
+
     /// Number of completed tasks of a job.
     pub fn done_tasks(&self, job: &JobId) -> u32 {
         self.done_counts.get(job).copied().unwrap_or(0)
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     contacts::{ContactHistory, ReportOutcome},
-    rules::{RuleChecker, Site},
+    rules::{RuleChecker, RuleViolation, Site},
 };
 
 /// Time after its start for which a machine counts as new.
@@ -52,6 +52,8 @@
     lease: Duration,
     lease_renewed_at: Duration,
     tasks: BTreeMap<(TaskId, u64), Stage>,
+    /// Attempts of this session that were forgotten on command, and how they had ended.
+    forgotten: BTreeMap<(TaskId, u64), EndCause>,
     images: Vec<String>,
 }
 
@@ -81,6 +83,7 @@
             lease,
             lease_renewed_at: now,
             tasks: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             images: Vec::new(),
         }
     }
@@ -132,6 +135,21 @@
         self.token
     }
 
+    /// How an attempt of this session has ended, listed or forgotten on command.
+    pub fn end_of(&self, task: &TaskId, attempt: u64) -> Option<EndCause> {
+        let key = (task.clone(), attempt);
+        match self.tasks.get(&key) {
+            Some(Stage::Exited(cause)) => Some(*cause),
+            Some(_) => None,
+            None => self.forgotten.get(&key).copied(),
+        }
+    }
+
+    /// Whether an attempt was forgotten on command in this session.
+    pub fn has_forgotten(&self, task: &TaskId, attempt: u64) -> bool {
+        self.forgotten.contains_key(&(task.clone(), attempt))
+    }
+
     /// Builds the next report.
     pub fn report(&mut self, now: Duration) -> Report {
         self.seq += 1;
@@ -224,7 +242,8 @@
                 } => self.stop(now, task, attempt, grace_s, rules),
                 Order::Forget { task, attempt } => {
                     let key = (task, attempt);
-                    if matches!(self.tasks.get(&key), Some(Stage::Exited(_))) {
+                    if let Some(Stage::Exited(cause)) = self.tasks.get(&key) {
+                        self.forgotten.insert(key.clone(), *cause);
                         self.tasks.remove(&key);
                     }
                 }
@@ -237,6 +256,13 @@
         if self.tasks.contains_key(&key) {
             return;
         }
+        if let Some(cause) = self.forgotten.remove(&key) {
+            let what = format!(
+                "{task} attempt {attempt} on {}, ended: {cause:?}",
+                self.name
+            );
+            rules.report(now, RuleViolation::RanAnew, what);
+        }
         let stage = match rules.jobs.get(&task.job) {
             None => Stage::Exited(EndCause::Unknown),
             Some(spec) => {
@@ -365,5 +391,6 @@
             rules.task_left(task, &self.name);
         }
         self.tasks.clear();
+        self.forgotten.clear();
     }
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -4,6 +4,7 @@
 //! [`World`] holds the event loop; the submodules handle the events of each kind.
 
 mod checks;
+mod copied_orders;
 mod delayed_reads;
 mod follow_ups;
 mod machines;
@@ -127,6 +128,8 @@
     /// Number of the controller's writes that were executed when it sent this one.
     DelayedWrite(usize, usize, Call),
     DelayedOrder(usize, u64, Call),
+    /// A copy of direct orders that this incarnation of a controller sent.
+    CopiedOrder(usize, u64, Call),
     CancelRunningJobs(usize),
     FollowUpRequest(usize, usize, RequestKind),
     FollowUpAnswer(FollowUpAnswer),
@@ -241,6 +244,10 @@
     api_client: Option<Box<dyn ApiClient>>,
     /// Separate from `rng`, so that an API client does not change the other draws.
     api_client_rng: fastrand::Rng,
+    /// Separate from `rng`, so that copies without effect do not change the other draws.
+    copies_rng: fastrand::Rng,
+    /// Revision of the state service when each process of a controller ended.
+    revisions_at_end: BTreeMap<(usize, u64), u64>,
     /// Set by `use_fixed_delays`.
     fixed_delays: bool,
     /// Highest total of processors that the running machines of each size had at one
@@ -362,6 +369,8 @@
             load: Load::default(),
             rules,
             api_client_rng: fastrand::Rng::with_seed(seed),
+            copies_rng: fastrand::Rng::with_seed(seed),
+            revisions_at_end: BTreeMap::new(),
             fixed_delays: false,
             max_cpus_by_machine_size: BTreeMap::new(),
             horizon: None,
@@ -694,6 +703,9 @@
                 self.record_late_order(node, incarnation, &call);
                 self.deliver_call(node, incarnation, call);
             }
+            Event::CopiedOrder(node, incarnation, call) => {
+                self.execute_copied_order(node, incarnation, call)
+            }
             Event::MachineCrash(machine_group) => {
                 let names: Vec<_> = self.workers.keys().cloned().collect();
                 for name in names
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -122,7 +122,9 @@
         if now < worker.report_at {
             return;
         }
-        let body = encode(&worker.report(now));
+        let message = worker.report(now);
+        let body = encode(&message);
+        self.load.record_report(&message, body.len());
         let session = worker.session();
         let node = worker.target;
         if let Some((old, incarnation, id)) = self.report_connections.get(name).copied()
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -558,6 +558,9 @@
                 self.evidence.orders_during_report_loss += usize::from(reports_lost);
                 let status = worker.handle_direct_orders(now, orders, &mut self.rules);
                 let body = encode(&worker.report(now));
+                if status == 200 {
+                    self.draw_copied_order(node, incarnation, &call);
+                }
                 if let Some(lag) = self.draw_duplicate_lag() {
                     self.schedule(now + lag, Event::DuplicateCall(call));
                 } else if self
--- a/crates/testkit/src/world/outcome.rs
+++ b/crates/testkit/src/world/outcome.rs
@@ -8,6 +8,7 @@
 use oliveshift_wire::{
     JobId, TaskId,
     job::{JobSpec, Shape},
+    worker::{Report, TaskReport, TaskState},
 };
 
 use crate::{
@@ -120,4 +121,24 @@
     pub peer_bytes: usize,
     /// Calls to workers: direct orders and inspections.
     pub orders: usize,
+    /// Number of reports that workers sent.
+    pub reports: usize,
+    /// Bytes of their bodies.
+    pub report_bytes: usize,
+    /// Largest body of a report.
+    pub max_report_bytes: usize,
+    /// Largest number of ended tasks that a report listed.
+    pub max_ended_listed: usize,
+}
+
+impl Load {
+    /// Records a report that a worker sends.
+    pub(super) fn record_report(&mut self, report: &Report, bytes: usize) {
+        let ended = |entry: &&TaskReport| entry.state == TaskState::Exited;
+        let ended = report.tasks.iter().filter(ended).count();
+        self.reports += 1;
+        self.report_bytes += bytes;
+        self.max_report_bytes = self.max_report_bytes.max(bytes);
+        self.max_ended_listed = self.max_ended_listed.max(ended);
+    }
 }
--- a/crates/testkit/src/world/processes.rs
+++ b/crates/testkit/src/world/processes.rs
@@ -10,6 +10,8 @@
 impl World {
     /// Kills a controller process, which restarts after `back`.
     pub(super) fn crash(&mut self, node: usize, restart_after: Duration) {
+        let process = (node, self.nodes[node].incarnation);
+        self.revisions_at_end.insert(process, self.state.revision());
         self.nodes[node].controller = None;
         self.nodes[node].incarnation += 1;
         self.nodes[node].restart_at = self.now.saturating_add(restart_after);
