The soak sends late copies of direct orders

Cause: the soak repeated reports, not orders, so it could not show a start that takes effect again after it was executed and answered.

Change: from the first fault on a copy of every second executed direct order arrives 1 s to 8 s later at the same worker. The record counts the copies and those that reached a worker which had forgotten the attempt. As a holder uses several tokens now, the stand-in finds the holder of a token by the block of the machine.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,6 +7,9 @@
 /// Range of the time from one fault to the next, in milliseconds.
 const FAULT_GAP_MS: Range<u64> = 400..5000;
 
+/// Time before the first fault, in milliseconds.
+const FIRST_FAULT_MS: u64 = 8000;
+
 /// Minimum time for which `draw_handovers` has the state service refuse a controller, in
 /// milliseconds, so that other controllers take over its blocks.
 const MIN_REFUSED_MS: u64 = 8000;
@@ -84,6 +87,11 @@
         /// One in this many is affected, at random.
         one_in: u32,
     },
+    /// Copies of some direct orders that were executed and answered arrive seconds later.
+    CopiedOrders {
+        /// One in this many is affected, at random.
+        one_in: u32,
+    },
     /// Copies of some reports arrive seconds later, at a random controller.
     LateReports {
         /// One in this many is affected, at random.
@@ -142,7 +150,7 @@
 ) -> Vec<ScheduledFault> {
     let end_ms = end.as_millis() as u64;
     let mut faults = Vec::new();
-    let mut at = 8000 + rng.u64(FAULT_GAP_MS);
+    let mut at = FIRST_FAULT_MS + rng.u64(FAULT_GAP_MS);
     while at < end_ms {
         let fault = draw_fault(rng, controllers);
         let duration_ms = match &fault {
@@ -199,6 +207,15 @@
     faults
 }
 
+/// Copies of direct orders from the first fault on until `end`.
+pub fn copied_orders(end: Duration) -> ScheduledFault {
+    ScheduledFault {
+        from_ms: FIRST_FAULT_MS,
+        until_ms: end.as_millis() as u64,
+        fault: Fault::CopiedOrders { one_in: 2 },
+    }
+}
+
 fn draw_fault(rng: &mut fastrand::Rng, controllers: usize) -> Fault {
     let controller = rng.usize(0..controllers);
     let one_in = rng.u32(2..8);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -46,6 +46,10 @@
     pub done: usize,
     /// Number of tasks that ended because their machine was lost or its worker's lease expired.
     pub lost: usize,
+    /// Number of late copies of direct orders that arrived.
+    pub copied_orders: usize,
+    /// Number of starts in them whose attempt the worker had forgotten.
+    pub copies_of_forgotten: usize,
     /// Rule violations.
     #[serde(rename = "broken")]
     pub rule_violations: Vec<RuleViolation>,
@@ -82,7 +86,7 @@
             .collect();
         format!(
             "seed {}: {verdict}: {} faults, {} jobs accepted, {} open, {} tasks started, {} done, {} lost, \
-             {} times changes too old; rules broken {rule_violations:?}, {} controllers exited unexpectedly, \
+             {} times changes too old, {} copied orders, {} starts of forgotten attempts in them; rules broken {rule_violations:?}, {} controllers exited unexpectedly, \
              {} invariant violations",
             self.seed,
             self.faults.len(),
@@ -92,6 +96,8 @@
             self.done,
             self.lost,
             self.too_old,
+            self.copied_orders,
+            self.copies_of_forgotten,
             self.unexpected_exits.len(),
             self.invariant_violations.len(),
         )
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 use crate::{
     cloud,
     controllers::{Addresses, Controllers, free_ports, loopback_address},
-    faults::{Fault, ScheduledFault, draw_faults, draw_handovers},
+    faults::{Fault, ScheduledFault, copied_orders, draw_faults, draw_handovers},
     http,
     options::Options,
     record::{Record, RuleViolation},
@@ -82,6 +82,7 @@
     let mut second_rng = fastrand::Rng::with_seed(!seed);
     let timing = Timing::draw(&mut second_rng);
     faults.extend(draw_handovers(&mut second_rng, nodes, fault_duration));
+    faults.push(copied_orders(fault_duration));
     faults.sort_by_key(|fault| fault.from_ms);
     let jobs = JOBS_PER_MACHINE_MINUTE * f64::from(options.machines) * options.minutes;
     let users = Users::draw(&mut rng, jobs.ceil() as usize, fault_duration.mul_f64(0.9));
@@ -176,8 +177,14 @@
         let names = self.site.borrow().machines_without_worker();
         for name in names {
             let (site, worker_name): (_, Rc<str>) = (self.site.clone(), Rc::from(name.as_str()));
+            let executor = self.executor.clone();
             let handler = move |request| {
-                workers::handle_request(site.clone(), Rc::clone(&worker_name), request)
+                workers::handle_request(
+                    executor.clone(),
+                    site.clone(),
+                    Rc::clone(&worker_name),
+                    request,
+                )
             };
             let address = http::serve(&self.executor, loopback_address(), handler);
             let address = address.map_err(RunError::Ports)?;
@@ -238,6 +245,8 @@
             started: site.rules.started,
             done: site.rules.done.len(),
             lost: site.rules.lost,
+            copied_orders: site.copied_orders,
+            copies_of_forgotten: site.copies_of_forgotten,
             rule_violations: violations.collect(),
             unexpected_exits: self.controllers.unexpected_exits.clone(),
             invariant_violations: self.controllers.invariant_violations(),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -12,14 +12,15 @@
 use async_io::Timer;
 use oliveshift_core::{
     Call, Method, Target,
-    records::{BlockRecord, Key, Term, from_value},
+    records::{BlockId, BlockRecord, Key, MachineListRecord, Term, from_value},
 };
 use oliveshift_testkit::{
     RuleChecker, StateLimits, StateService, cloud::Cloud, rules::Site as Place, worker::Worker,
 };
 use oliveshift_wire::{
+    decode,
     state::{Change, Txn, TxnAnswer},
-    worker::Report,
+    worker::{DirectOrders, Order, Report},
 };
 use serde::Serialize;
 
@@ -90,8 +91,14 @@
     started_at: Instant,
     /// Worker lease and cancellation settings.
     pub timing: Timing,
-    /// Index of the controller that acquired a block, by the term of the block.
-    holders: BTreeMap<Term, usize>,
+    /// Index of the controller that acquired a block, by block and term.
+    holders: BTreeMap<(BlockId, Term), usize>,
+    /// Block of each registered machine.
+    blocks: BTreeMap<String, BlockId>,
+    /// Number of late copies of direct orders that arrived.
+    pub copied_orders: usize,
+    /// Number of starts in them whose attempt the worker had forgotten.
+    pub copies_of_forgotten: usize,
     /// Model of the state service.
     pub state: StateService,
     /// Model of the cloud.
@@ -135,6 +142,9 @@
             machines: BTreeMap::new(),
             timing,
             holders: BTreeMap::new(),
+            blocks: BTreeMap::new(),
+            copied_orders: 0,
+            copies_of_forgotten: 0,
             rules: RuleChecker::new(limits.into(), timing.cancel()),
             faults: Vec::new(),
             rng,
@@ -199,31 +209,57 @@
         partition.is_some()
     }
 
-    /// Whether the controller that acquired a block under a term is partitioned from a
-    /// machine. A term belongs to exactly one holder.
-    pub fn is_holder_partitioned(&self, term: Term, name: &str) -> bool {
-        let holder = self.holders.get(&term);
-        holder.is_some_and(|holder| self.is_partitioned(*holder, name))
+    /// Whether the controller that uses a token with a machine is partitioned from it. A token
+    /// belongs to the latest lease of the machine's block that is not above it.
+    pub fn is_holder_partitioned(&self, token: u64, name: &str) -> bool {
+        let Some(block) = self.blocks.get(name) else {
+            return false;
+        };
+        let leases = self.holders.range((*block, 0)..=(*block, token));
+        let holder = leases.map(|(_, holder)| *holder).next_back();
+        holder.is_some_and(|holder| self.is_partitioned(holder, name))
     }
 
-    /// Records the holders of the blocks that an executed transaction has written. The
-    /// revision of the transaction is their term.
-    pub fn record_holders(&mut self, txn: Txn, answer: &TxnAnswer) {
+    /// Records the blocks of machines and the holders of blocks that an executed transaction
+    /// has written. The revision of the transaction is the term of a holder.
+    pub fn record_blocks(&mut self, txn: Txn, answer: &TxnAnswer) {
         for change in txn.changes {
             let Change::Put { key, value, .. } = change else {
                 continue;
             };
-            if !matches!(Key::parse(&key), Some(Key::Block(_))) {
-                continue;
-            }
-            let record: Option<BlockRecord> = from_value(value);
-            let holder = record.and_then(|r| r.holder.strip_prefix("n-")?.parse().ok());
-            if let Some(holder) = holder {
-                self.holders.insert(answer.revision, holder);
+            match Key::parse(&key) {
+                Some(Key::Block(block)) => {
+                    let record: Option<BlockRecord> = from_value(value);
+                    let holder = record.and_then(|r| r.holder.strip_prefix("n-")?.parse().ok());
+                    if let Some(holder) = holder {
+                        self.holders.insert((block, answer.revision), holder);
+                    }
+                }
+                Some(Key::Machines(block, _)) => {
+                    let list = MachineListRecord::from_value(value);
+                    let machines = list.map(|list| list.into_parts().1).unwrap_or_default();
+                    self.blocks
+                        .extend(machines.into_iter().map(|machine| (machine.name, block)));
+                }
+                _ => {}
             }
         }
     }
 
+    /// Records a late copy of direct orders before it is executed.
+    pub fn record_copy(&mut self, name: &str, body: &[u8]) {
+        let (Some(machine), Ok(orders)) = (self.machines.get(name), decode::<DirectOrders>(body))
+        else {
+            return;
+        };
+        let is_forgotten = |order: &&Order| match order {
+            Order::Start { task, attempt } => machine.worker.has_forgotten(task, *attempt),
+            Order::Stop { .. } | Order::Forget { .. } => false,
+        };
+        self.copied_orders += 1;
+        self.copies_of_forgotten += orders.orders.iter().filter(is_forgotten).count();
+    }
+
     /// Whether the reports of a machine reach no controller.
     pub fn loses_reports(&self, name: &str) -> bool {
         let lost = self.active_fault(|f| match f {
--- a/crates/soak/src/state.rs
+++ b/crates/soak/src/state.rs
@@ -96,7 +96,7 @@
         if let (Ok(txn), StateResponse::Answer(200, body)) = (txn, &done)
             && let Ok(answer) = decode::<TxnAnswer>(body)
         {
-            site.record_holders(txn, &answer);
+            site.record_blocks(txn, &answer);
         }
         done
     };
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -25,10 +25,13 @@
 const RETARGET_DELAY: Duration = Duration::from_secs(1);
 /// Delay of late orders and of copied reports, in milliseconds.
 const LATE_DELAY_MS: std::ops::Range<u64> = 2000..16_000;
+/// Delay of copies of direct orders, in milliseconds.
+const COPY_DELAY_MS: std::ops::Range<u64> = 1000..8000;
 
 /// Handles a request to a worker: direct orders, or `/inspect`, which is answered with the
 /// worker's next report. `None` closes the connection without an answer.
 pub async fn handle_request(
+    executor: Rc<LocalExecutor<'static>>,
     site: SharedSite,
     name: Rc<str>,
     request: HttpRequest,
@@ -60,9 +63,40 @@
         Timer::after(Duration::from_millis(delay_ms)).await;
     }
     let response = execute(&site, &name, &request.body);
+    if response.as_ref().is_some_and(|r| r.status == 200) {
+        copy_orders(&executor, &site, &name, &request.body);
+    }
     response.filter(|_| !late)
 }
 
+/// Lets a copy of executed orders arrive later, if a fault affects them.
+fn copy_orders(
+    executor: &Rc<LocalExecutor<'static>>,
+    site: &SharedSite,
+    name: &Rc<str>,
+    body: &[u8],
+) {
+    let copied = site.borrow_mut().is_affected(|f| match f {
+        Fault::CopiedOrders { one_in } => Some(*one_in),
+        _ => None,
+    });
+    if !copied {
+        return;
+    }
+    let delay_ms = site.borrow_mut().rng.u64(COPY_DELAY_MS);
+    let (site, name, body) = (site.clone(), Rc::clone(name), body.to_vec());
+    let late_copy = async move {
+        Timer::after(Duration::from_millis(delay_ms)).await;
+        let hangs = site.borrow().hangs_until(&name);
+        if let Some(hang_end) = hangs {
+            wait_until(&site, hang_end).await;
+        }
+        site.borrow_mut().record_copy(&name, &body);
+        execute(&site, &name, &body);
+    };
+    executor.spawn(late_copy).detach();
+}
+
 fn execute(site: &SharedSite, name: &str, body: &[u8]) -> Option<HttpResponse> {
     let mut site = site.borrow_mut();
     site.advance();
