Only a lease in force has fencing tokens above its term

Cause: found by reading once more. The tokens of a lease run up to the revision of the view, which was not compared with the block's record.

Change: the range ends at the term unless the view shows the block at that version.

Result: the new unit test can't be built on the code before (the range did not know the block).

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -176,7 +176,11 @@
             return self.handle_stray_report(conn, report, block);
         };
         let term = held.term;
-        if self.view.lease_tokens(term).is_exceeded_by(report.token) {
+        if self
+            .view
+            .lease_tokens(block, term)
+            .is_exceeded_by(report.token)
+        {
             // The worker has seen a token of a later lease: another controller holds the block, and
             // this view is behind.
             return self.redirect(conn, None);
@@ -255,7 +259,10 @@
             .notice_s
             .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 1e6)));
         machine.direct_starts.token_seen(report.token);
-        let is_current_term = self.view.lease_tokens(machine.term).contains(report.token);
+        let is_current_term = self
+            .view
+            .lease_tokens(machine.block, machine.term)
+            .contains(report.token);
         if is_current_term {
             machine.order_token = machine.order_token.max(report.token);
         }
--- a/crates/core/src/fencing/tests.rs
+++ b/crates/core/src/fencing/tests.rs
@@ -1,6 +1,10 @@
 use oliveshift_wire::worker::{EndCause, TaskState};
 
 use super::*;
+use crate::{
+    fixtures::{apply_records, block_record, controller},
+    records::{Key, to_list},
+};
 
 fn task() -> TaskId {
     "j-1/0".parse().expect("a task")
@@ -37,3 +41,13 @@
     starts.session_ended();
     assert!(!starts.may_take_effect(&task(), 8));
 }
+
+#[test]
+fn a_lease_that_is_over_has_no_tokens_above_its_term() {
+    let mut controller = controller("[]");
+    let record = block_record(&controller);
+    apply_records(&mut controller, [(Key::Block(1), to_list(&record), 40)]);
+    controller.view.revision = 50;
+    assert!(controller.view.lease_tokens(1, 40).contains(50));
+    assert!(controller.view.lease_tokens(1, 39).is_exceeded_by(40));
+}
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -38,7 +38,7 @@
             return self.redirect(conn, Some(holder));
         }
         let lease = (block, term);
-        let tokens = self.view.lease_tokens(term);
+        let tokens = self.view.lease_tokens(block, term);
         let action = self
             .reachability
             .record_stray(self.now, &report, block, tokens, &holder);
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -58,7 +58,7 @@
         };
         let retained = machine.retained_attempts();
         if retained >= ATTEMPTS_BEFORE_RAISE {
-            machine.raise_order_token(view.lease_tokens(machine.term));
+            machine.raise_order_token(view.lease_tokens(machine.block, machine.term));
             log::info!(
                 "{name}: {retained} ended attempts await a higher token; token {}, term {}, newest revision {}",
                 machine.order_token,
@@ -360,7 +360,7 @@
                     self.mark_unsent(name, starts);
                     return;
                 }
-                let tokens = self.view.lease_tokens(term);
+                let tokens = self.view.lease_tokens(machine.block, term);
                 if tokens.is_exceeded_by(report.token) {
                     return;
                 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -250,9 +250,11 @@
 }
 
 impl View {
-    /// The fencing tokens of the lease of a block whose record has the version `term`.
-    pub fn lease_tokens(&self, term: Term) -> LeaseTokens {
-        LeaseTokens::new(term, self.revision)
+    /// The fencing tokens of the lease of a block under `term`. Only the term itself if the
+    /// block is not leased under it any more.
+    pub fn lease_tokens(&self, block: BlockId, term: Term) -> LeaseTokens {
+        let is_in_force = self.blocks.get(&block).is_some_and(|b| b.version == term);
+        LeaseTokens::new(term, if is_in_force { self.revision } else { term })
     }
 
     /// Applies a change. Returns its key, or `None` if the change was already known or
