Tokens are raised as soon as an attempt waits for one

Cause: up to three ended attempts stayed in the reports of each machine until a fourth one came, so reports of idle machines were longer and queued the machine for orders; each running attempt of each report was looked up to see whether it is the current one.

Change: a token is raised with the answer to the first report that lists an attempt which waits for it, so lists are as short as before the fix. Attempts that were listed before are not looked up. Orders to forget are logged in one line an answer.

--- a/crates/core/src/blocks.rs
+++ b/crates/core/src/blocks.rs
@@ -328,21 +328,21 @@
             return;
         };
         let is_own = is_attempt_after(machine.term, machine.attempts_before, entry.attempt);
-        if entry.state == TaskState::Exited || !is_own {
+        let is_same = |t: &TaskReport| {
+            t.attempt == entry.attempt && t.task == entry.task && t.state != TaskState::Exited
+        };
+        if entry.state == TaskState::Exited || !is_own || machine.tasks.iter().any(is_same) {
             return;
         }
         let bound = self.assigned_tasks.get(&entry.task).and_then(|s| s.bound());
-        let is_current = bound.is_some_and(|b| b.machine == name && b.attempt == entry.attempt);
-        let is_same = |t: &TaskReport| {
-            t.task == entry.task && t.attempt == entry.attempt && t.state != TaskState::Exited
-        };
-        if !is_current && !machine.tasks.iter().any(is_same) {
-            self.invariants.report(&Violation::AttemptReappeared {
-                task: entry.task.clone(),
-                machine: name.to_owned(),
-                attempt: entry.attempt,
-            });
+        if bound.is_some_and(|b| b.machine == name && b.attempt == entry.attempt) {
+            return;
         }
+        self.invariants.report(&Violation::AttemptReappeared {
+            task: entry.task.clone(),
+            machine: name.to_owned(),
+            attempt: entry.attempt,
+        });
     }
 
     /// Whether a machine has tasks, or results that are not recorded yet. If it were
--- a/crates/core/src/fencing.rs
+++ b/crates/core/src/fencing.rs
@@ -11,9 +11,6 @@
 
 use crate::records::Term;
 
-/// Number of ended attempts awaiting a higher token at which the token of a worker is raised.
-/// Each raise may cause an additional report.
-pub(crate) const ATTEMPTS_BEFORE_RAISE: usize = 4;
 /// Number of ended attempts awaiting a higher token from which on a worker gets no direct
 /// starts. It bounds the size of reports while no higher token is available.
 pub(crate) const MAX_RETAINED_ATTEMPTS: usize = 16;
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -12,7 +12,6 @@
     attempt::{AbsenceProof, Attempt, StartRefusal},
     call::{Method, Reply, Target},
     controller::{Controller, Pending},
-    fencing::ATTEMPTS_BEFORE_RAISE,
     invariants::Violation,
     machine::Machine,
     records::Term,
@@ -49,22 +48,19 @@
         ReportAnswer { token, orders }
     }
 
-    /// The fencing token for an answer. It is raised when the worker lists several ended
-    /// attempts that it may forget under a higher one only.
+    /// The fencing token for an answer. It is raised when the worker lists ended attempts that
+    /// it may forget under a higher one only.
     fn answer_token(&mut self, name: &str) -> u64 {
         let view = &self.view;
         let Some(machine) = self.machines.get_mut(name) else {
             return 0;
         };
-        let retained = machine.retained_attempts();
-        if retained >= ATTEMPTS_BEFORE_RAISE {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(crate::Sabotage::EarlyForget) {
+            return machine.order_token;
+        }
+        if machine.retained_attempts() > 0 {
             machine.raise_order_token(view.lease_tokens(machine.block, machine.term));
-            log::info!(
-                "{name}: {retained} ended attempts await a higher token; token {}, term {}, newest revision {}",
-                machine.order_token,
-                machine.term,
-                view.revision,
-            );
         }
         machine.order_token
     }
@@ -178,21 +174,22 @@
             };
             decision.is_ok()
         };
-        let forgotten = machine.tasks.iter().filter(may_forget);
-        forgotten
-            .inspect(|entry| {
-                log::info!(
-                    "{}: attempt {} is to be forgotten by {name}, session {}, token {token}",
-                    entry.task,
-                    entry.attempt,
-                    machine.session,
-                );
-            })
-            .map(|entry| Order::Forget {
-                task: entry.task.clone(),
-                attempt: entry.attempt,
-            })
-            .collect()
+        let forgotten: Vec<_> = machine.tasks.iter().filter(may_forget).collect();
+        if !forgotten.is_empty() {
+            let attempts = forgotten
+                .iter()
+                .map(|t| format!("{}@{}", t.task, t.attempt));
+            log::info!(
+                "{name}: is to forget {}, session {}, token {token}",
+                attempts.collect::<Vec<_>>().join(" "),
+                machine.session,
+            );
+        }
+        let orders = forgotten.into_iter().map(|entry| Order::Forget {
+            task: entry.task.clone(),
+            attempt: entry.attempt,
+        });
+        orders.collect()
     }
 
     /// The start order for a task that was placed on a machine, if it may start now.
