A request that did not arrive completely gets no final answer

What callers saw: a repeat of an accepted job whose body came late was answered with 400, at any controller. First submissions, cancellations, polls and reports got the same.

Cause: a final answer was derived from a part of a request. A body that had not arrived 4 s after the head, or that ended early, went the way of a body that was read and found malformed. The limit ran from the head, not from the first byte, so it also left nothing of the 5 s that a user waits for the answer.

Fix: a request reaches the state machine only with a CompleteBody, which cannot be made of fewer bytes than announced. What is late or cut off is answered with 408 and `Connection: close`, what is too large with 413, an unknown transfer encoding with 501: none of them is final. The times of all clients stand in client_timeouts; they run from the first byte, and what the request took is not left for its answer. The workflow service reads submissions the same way.

Refusals of users' requests are logged at info, with status, reason, time since the first byte, bytes received of those announced, and what the answer rests on: ten a second one by one, the rest counted.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -1,6 +1,8 @@
 //! Requests, replies and answers that go in and out of the state machine.
 
-use std::time::Duration;
+use std::{ops::Deref, time::Duration};
+
+use thiserror::Error;
 
 use crate::sockets::{Close, SocketId};
 
@@ -93,7 +95,66 @@
     /// The path, without query.
     pub path: String,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: CompleteBody,
+    /// Time from the first byte of the request to its last.
+    pub receipt_time: Duration,
+}
+
+/// The body of a request that was received to its announced end.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CompleteBody(Vec<u8>);
+
+impl CompleteBody {
+    /// A body of which all `announced` bytes were received; for a body in chunks, `None`, and
+    /// `bytes` are those up to its last chunk.
+    ///
+    /// # Errors
+    ///
+    /// If the number of bytes is another one.
+    pub fn new(bytes: Vec<u8>, announced: Option<usize>) -> Result<Self, CutOff> {
+        match announced {
+            Some(announced) if announced != bytes.len() => Err(CutOff {
+                received: bytes.len(),
+                announced,
+            }),
+            _ => Ok(Self(bytes)),
+        }
+    }
+}
+
+impl Deref for CompleteBody {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// A body ended before its announced end.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("the body ended after {received} of {announced} bytes")]
+pub struct CutOff {
+    /// The bytes that were received.
+    pub received: usize,
+    /// The bytes that were announced.
+    pub announced: usize,
+}
+
+/// A request of which only a part was received.
+#[derive(Clone, Debug)]
+pub struct IncompleteRequest {
+    /// The path; `None` if the head was not received completely.
+    pub path: Option<String>,
+    /// Bytes of the body that were received.
+    pub received: usize,
+    /// Bytes of the body that were announced, if they were.
+    pub announced: Option<usize>,
+    /// Time from the first byte of the request until it was given up.
+    pub receipt_time: Duration,
+    /// The status that its sender is answered with, if any.
+    pub status: Option<u16>,
+    /// Why the request was given up.
+    pub reason: &'static str,
 }
 
 /// An answer to a request that came in.
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -21,7 +21,10 @@
     admission_shares::AdmissionShares,
     assigned_tasks::AssignedTask,
     blocks::HeldBlock,
-    call::{Answer, Call, CallId, ConnId, Listener, Method, Output, Reply, Request, Target},
+    call::{
+        Answer, Call, CallId, ConnId, IncompleteRequest, Listener, Method, Output, Reply, Request,
+        Target,
+    },
     cloud::CloudCall,
     failed_placements::FailedPlacements,
     fleet::Fleet,
@@ -44,6 +47,7 @@
     tuning::Tuning,
     upgrade::Upgrade,
     user_api::{UserRequest, UserRequests},
+    user_request_log::{RefusedRequest, UserRequestLog},
     view::View,
 };
 
@@ -72,6 +76,8 @@
     IdleConnections([usize; 3]),
     /// An inbound request was read.
     Request(Request),
+    /// An inbound request was given up before it was received completely.
+    IncompleteRequest(IncompleteRequest),
     /// Result of a request that the controller sent.
     Reply(CallId, Reply),
 }
@@ -215,6 +221,8 @@
     /// yet.
     pub(crate) unrecorded: BTreeSet<TaskId>,
     pub(crate) leader: Option<Leader>,
+    /// User requests that are not answered yet.
+    pub(crate) user_request_log: UserRequestLog,
     /// User requests relayed to and from peers.
     pub(crate) relay: Relay,
     /// Worker reports forwarded to and from peers.
@@ -281,6 +289,7 @@
             own_machines: OwnMachines::default(),
             unrecorded: BTreeSet::new(),
             leader: None,
+            user_request_log: UserRequestLog::default(),
             relay: Relay::default(),
             forwarding: Forwarding::default(),
             non_member_peers: NonMemberPeers::default(),
@@ -349,10 +358,15 @@
             Input::Request(request) => {
                 self.sockets
                     .request_received(self.now, request.socket, request.conn);
+                self.user_request_log.request_received(self.now, &request);
                 let class = self.effective_class(RequestClass::of(&request));
                 self.request_queue.push(self.now, class, request);
                 return Vec::new();
             }
+            Input::IncompleteRequest(request) => {
+                self.user_request_log.request_incomplete(self.now, &request);
+                return Vec::new();
+            }
             Input::Tick => self.tick(),
             Input::Reply(call, reply) => self.handle_reply(call, reply),
         }
@@ -427,6 +441,7 @@
                 self.relay.wrap_answer(answer);
                 self.forwarding.wrap_answer(answer);
                 self.sockets.request_answered(self.now, answer.conn);
+                self.user_request_log.request_answered(answer.conn);
             }
         }
         outputs
@@ -444,6 +459,7 @@
     }
 
     fn tick(&mut self) {
+        self.user_request_log.tick(self.now);
         let close = self.sockets.tick(self.now);
         self.close(close);
         self.store_tick();
@@ -476,6 +492,7 @@
             method,
             path,
             body,
+            receipt_time,
             ..
         } = request;
         match (listener, route(&path), method) {
@@ -484,8 +501,9 @@
                 self.answer(conn, status, Vec::new());
             }
             (Listener::Public, (Some("work"), id, what, more), _) => {
+                let first_byte_at = self.now.saturating_sub(receipt_time);
                 self.relay
-                    .store_request(self.now, conn, method, &path, &body);
+                    .store_request(first_byte_at, conn, method, &path, &body);
                 self.handle_user_request(conn, method, (id, what, more), &body);
             }
             (Listener::Public, (Some("checkin"), None, ..), Method::Post) => {
@@ -663,12 +681,23 @@
     }
 
     pub(crate) fn refuse(&mut self, conn: ConnId, status: u16, error: &str) {
+        self.log_refusal(conn, status, error, "what this controller knows");
         let body = oliveshift_wire::encode(&Refusal {
             error: error.to_owned(),
         });
         self.answer(conn, status, body);
     }
 
+    fn log_refusal(&mut self, conn: ConnId, status: u16, reason: &str, basis: &str) {
+        let refused = RefusedRequest {
+            status,
+            reason,
+            basis,
+        };
+        self.user_request_log
+            .request_refused(self.now, conn, &refused);
+    }
+
     /// Answers 503 with `Retry-After` of one second.
     pub(crate) fn refuse_with_retry(&mut self, conn: ConnId, error: &str) {
         self.refuse_with_retry_after(conn, error, Duration::from_secs(1));
@@ -676,7 +705,7 @@
 
     /// Answers 503 with `Retry-After` of `after`.
     pub(crate) fn refuse_with_retry_after(&mut self, conn: ConnId, error: &str, after: Duration) {
-        log::debug!("request refused, client may retry in {after:.1?}: {error}");
+        self.log_refusal(conn, 503, error, "nothing: it is not decided");
         let body = oliveshift_wire::encode(&Refusal {
             error: error.to_owned(),
         });
--- a/crates/core/src/forwarding/origin.rs
+++ b/crates/core/src/forwarding/origin.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     call::{ConnId, Reply},
+    client_timeouts::REPORT_TIMEOUT,
     reachability::StrayAction,
-    request_queue::REPORT_TIMEOUT,
 };
 
 /// Upper bound for the forwarded reports without an answer.
--- a/crates/core/src/forwarding/tests.rs
+++ b/crates/core/src/forwarding/tests.rs
@@ -107,7 +107,7 @@
 /// A worker times out after 4 s: both tries and the answer to the worker have to fit.
 #[test]
 fn both_tries_fit_into_the_report_timeout() {
-    let timeout = crate::request_queue::REPORT_TIMEOUT;
+    let timeout = crate::client_timeouts::REPORT_TIMEOUT;
     assert!((HOLDER_TIMEOUT * 2).max(LEADER_TIMEOUT * 2) + ms(1000) < timeout);
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod blocks;
 mod budget;
 mod call;
+pub mod client_timeouts;
 mod cloud;
 mod controller;
 mod failed_placements;
@@ -53,10 +54,15 @@
 mod unplaced;
 mod upgrade;
 mod user_api;
+mod user_request_log;
 mod user_writes;
 mod view;
 
-pub use call::{Answer, Call, CallId, ConnId, Listener, Method, Output, Reply, Request, Target};
+pub use call::{
+    Answer, Call, CallId, CompleteBody, ConnId, CutOff, IncompleteRequest, Listener, Method,
+    Output, Reply, Request, Target,
+};
+pub use client_timeouts::ClientKind;
 pub use controller::{Controller, Input, Now};
 pub use request_queue::is_report;
 #[cfg(feature = "sabotage")]
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,10 +15,10 @@
 
 use crate::{
     assigned_tasks::{AssignedTask, AssignmentState, Bound},
+    client_timeouts::REPORT_TIMEOUT,
     controller::Controller,
     machine::Machine,
     records::Term,
-    request_queue::REPORT_TIMEOUT,
 };
 
 /// A worker whose report got no answer reports to the next controller within this time. The
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -15,19 +15,18 @@
 
 use oliveshift_wire::peer::{RelayedAnswer, RelayedRequest};
 
-use crate::call::{Answer, ConnId, Method, Reply};
+use crate::{
+    call::{Answer, ConnId, Method, Reply},
+    client_timeouts::ClientKind,
+};
 
 /// Upper bounds for the requests that are stored until they are answered, and for those that are
 /// at peers at a time. Users whose request is not relayed reach another controller within
 /// seconds.
 const MAX_STORED: usize = 512;
 const MAX_AT_PEERS: usize = 16;
-/// How long after its arrival a relayed request may be answered: a poll of a job's state, and
-/// any other request. Users wait somewhat longer, which leaves time for the way back.
-const POLL_TIMEOUT: Duration = Duration::from_millis(1800);
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(4500);
 /// Longest wait for a peer's answer; a peer that takes longer will presumably not answer at all.
-const MAX_PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+const MAX_PEER_TIMEOUT: Duration = ClientKind::Controller.timeout();
 /// With less time than this remaining a request is not relayed.
 const MIN_PEER_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -50,10 +49,10 @@
 }
 
 impl Relay {
-    /// Stores a user's request when it arrives, in case it has to be relayed.
+    /// Stores a user's request whose first byte came in at `at`, in case it has to be relayed.
     pub fn store_request(
         &mut self,
-        now: Duration,
+        at: Duration,
         conn: ConnId,
         method: Method,
         path: &str,
@@ -72,7 +71,7 @@
             path: path.to_owned(),
             body: body.to_vec(),
         };
-        self.stored.insert(conn, StoredRequest { at: now, request });
+        self.stored.insert(conn, StoredRequest { at, request });
     }
 
     /// Takes a stored request to send it to a peer, with the time to wait for the answer. `None`
@@ -83,11 +82,12 @@
         conn: ConnId,
     ) -> Option<(RelayedRequest, Duration)> {
         let stored = self.stored.remove(&conn)?;
-        let timeout = match stored.request.is_query {
-            true => POLL_TIMEOUT,
-            false => REQUEST_TIMEOUT,
+        let client = match stored.request.is_query {
+            true => ClientKind::Poll,
+            false => ClientKind::UserWrite,
         };
-        let remaining = timeout
+        let remaining = client
+            .answer_timeout()
             .saturating_sub(now.saturating_sub(stored.at))
             .min(MAX_PEER_TIMEOUT);
         if remaining < MIN_PEER_TIMEOUT || self.at_peers.len() >= MAX_AT_PEERS {
--- a/crates/core/src/request_queue.rs
+++ b/crates/core/src/request_queue.rs
@@ -18,18 +18,13 @@
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{
-    call::{Listener, Method, Request},
+    call::{Listener, Request},
+    client_timeouts::{ClientKind, REPORT_TIMEOUT},
     sockets::SocketId,
 };
 
 /// Limit of users' requests in a batch, and of workers' reports and new connections.
 const MAX_PER_BATCH: usize = 8;
-/// Time after which a worker gives up on a report.
-pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time after which a user gives up on polling a job.
-const POLL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time after which a user gives up on any other request.
-const USER_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Kind of sender, which decides the priority of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,7 +63,7 @@
     prefix.starts_with(b"POST /checkin")
 }
 
-/// A request and its arrival time.
+/// A request and when its first byte arrived.
 #[derive(Debug)]
 struct QueuedRequest {
     since: Duration,
@@ -77,13 +72,14 @@
 
 impl QueuedRequest {
     fn is_expired(&self, now: Duration, class: RequestClass) -> bool {
-        let timeout = match (class, self.request.method) {
-            (RequestClass::Priority, _) => return false,
-            (RequestClass::Report, _) => REPORT_TIMEOUT,
-            (RequestClass::User, Method::Get) => POLL_TIMEOUT,
-            (RequestClass::User, _) => USER_REQUEST_TIMEOUT,
-        };
-        now >= self.since + timeout
+        let Request {
+            listener,
+            method,
+            path,
+            ..
+        } = &self.request;
+        let client = ClientKind::of(*listener, *method, path);
+        class != RequestClass::Priority && now >= self.since + client.timeout()
     }
 }
 
@@ -120,7 +116,7 @@
 
     /// Adds a request.
     pub fn push(&mut self, now: Duration, class: RequestClass, request: Request) {
-        let since = now;
+        let since = now.saturating_sub(request.receipt_time);
         let queue = match class {
             RequestClass::Priority => &mut self.priority,
             RequestClass::User => &mut self.users,
--- a/crates/core/src/request_queue/tests.rs
+++ b/crates/core/src/request_queue/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::call::{CompleteBody, Method};
 
 fn request(conn: u64, method: Method, path: &str) -> Request {
     Request {
@@ -7,7 +8,8 @@
         listener: Listener::Public,
         method,
         path: path.into(),
-        body: Vec::new(),
+        body: CompleteBody::default(),
+        receipt_time: Duration::ZERO,
     }
 }
 
--- a/crates/core/src/sockets.rs
+++ b/crates/core/src/sockets.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     call::{ConnId, Listener, Target},
-    request_queue::REPORT_TIMEOUT,
+    client_timeouts::{MAX_CLIENT_TIMEOUT, REPORT_TIMEOUT},
 };
 
 /// Identifies an inbound connection; a later connection has a larger id.
@@ -92,8 +92,6 @@
 const RESERVED_DESCRIPTORS: usize = 12;
 /// How long an inbound connection may be inactive.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
-/// Longest time that any client waits for an answer; a later answer is not read.
-const MAX_ANSWER_WAIT: Duration = Duration::from_secs(5);
 /// Sockets for the state service and the cloud, in seconds of requests at their rate limits.
 const OUTSIDE_SECONDS: f64 = 2.0;
 /// Sockets for each other controller, in both directions.
@@ -498,7 +496,7 @@
         let can_go = |&&(since, id): &&(Duration, SocketId)| {
             let busy = self.sockets.get(&id).is_some_and(|s| s.busy);
             let least = if busy {
-                MAX_ANSWER_WAIT
+                MAX_CLIENT_TIMEOUT
             } else {
                 Duration::ZERO
             };
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -107,6 +107,7 @@
             spec.awaits.clear();
         }
         let id = spec.id.clone();
+        self.user_request_log.job_submitted(conn, &id);
         if let Some(job) = self.view.jobs.get(&id) {
             if job.phase == Phase::Open {
                 self.read_first(conn, id, RequestKind::Submit, None);
@@ -627,8 +628,11 @@
     pub(crate) fn user_requests_tick(&mut self) {
         let now = self.now;
         self.repeat_user_writes();
-        let is_expired =
-            |request: &UserRequest| now.saturating_sub(request.since) > REQUEST_TIMEOUT;
+        let log = &self.user_request_log;
+        let is_expired = |request: &UserRequest| {
+            now.saturating_sub(request.since) > REQUEST_TIMEOUT
+                || log.answer_due(request.conn).is_some_and(|due| now > due)
+        };
         let mut expired = Vec::new();
         self.user_requests.awaiting_read.retain(|request| {
             if is_expired(request) {
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -13,8 +13,8 @@
 use async_io::{Timer, block_on};
 use futures_lite::future::yield_now;
 use oliveshift_core::{
-    Answer, Call, Close, ConnId, Controller, Input, Listener, Method, Now, Output, Reply, Request,
-    SocketId, Target,
+    Answer, Call, Close, ConnId, Controller, IncompleteRequest, Input, Listener, Now, Output,
+    Reply, Request, SocketId, Target,
 };
 use oliveshift_wire::settings::Settings;
 
@@ -279,29 +279,26 @@
         let _ = receive.recv().await;
     }
 
-    /// Passes a request to the state machine and waits for its answer.
-    pub async fn request(
-        self: &Rc<Self>,
-        socket: SocketId,
-        listener: Listener,
-        method: Method,
-        path: String,
-        body: Vec<u8>,
-    ) -> Option<Answer> {
+    /// An identifier for the next request.
+    pub fn next_request_id(&self) -> ConnId {
         let conn = self.next_conn.get();
         self.next_conn.set(conn + 1);
+        conn
+    }
+
+    /// Reports a request that was given up before it was received completely.
+    pub fn request_incomplete(self: &Rc<Self>, request: IncompleteRequest) {
+        self.handle_input(Input::IncompleteRequest(request));
+    }
+
+    /// Passes a request to the state machine and waits for its answer.
+    pub async fn request(self: &Rc<Self>, request: Request) -> Option<Answer> {
+        let conn = request.conn;
         let (send, receive) = async_channel::bounded(1);
         self.pending_answers.borrow_mut().insert(conn, send);
         // If the connection is closed, its task is dropped while it waits below.
         let _guard = PendingAnswerGuard(self, conn);
-        self.handle_input(Input::Request(Request {
-            conn,
-            socket,
-            listener,
-            method,
-            path,
-            body,
-        }));
+        self.handle_input(Input::Request(request));
         receive.recv().await.ok()
     }
 
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -4,19 +4,28 @@
 
 use async_h1::server::{ConnectionStatus, Server};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{
     Error, Method as HttpMethod, Request as HttpRequest, Response, StatusCode, headers,
 };
-use oliveshift_core::{Listener, Method, SocketId, is_report};
+use oliveshift_core::{
+    ClientKind, Listener, Method, Request, SocketId, client_timeouts::head_timeout, is_report,
+};
 use oliveshift_wire::{codec::MAX_BODY_BYTES, encode, job::Refusal};
 
-use crate::{runtime::Runtime, stream::Stream};
+use crate::{
+    request_reader::{IncompleteBody, ReceiptError, receive_body},
+    runtime::Runtime,
+    stream::Stream,
+};
 
-/// How long a request body may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Maximum size of the request line and headers, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// How many bytes a body in chunks may take for each byte that is in it.
+const CHUNK_OVERHEAD: usize = 4;
+/// The answer to a request whose head did not arrive in time.
+const LATE_HEAD_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How long the peer has to read the last answer before the connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -61,10 +70,17 @@
     let endpoint = |request| handle_request(runtime, id, stream, request, listener);
     let mut server = Server::new(stream.clone(), endpoint);
     loop {
-        stream.set_read_budget(MAX_HEAD_BYTES + MAX_BODY_BYTES);
+        stream.begin_receipt(MAX_HEAD_BYTES + CHUNK_OVERHEAD * MAX_BODY_BYTES);
+        stream.limit_receipt_time(head_timeout());
         match server.accept_one().await {
             Ok(ConnectionStatus::KeepAlive) => {}
-            Ok(ConnectionStatus::Close) | Err(_) => break,
+            Ok(ConnectionStatus::Close) => break,
+            Err(_) => {
+                if stream.is_receipt_overdue() {
+                    reject_late_head(runtime, stream).await;
+                }
+                break;
+            }
         }
     }
     if stream.is_closed() {
@@ -73,7 +89,7 @@
     // Closing with unread bytes would reset the connection, and the peer could lose the
     // answer.
     stream.shutdown_write();
-    stream.set_read_budget(4 * MAX_BODY_BYTES);
+    stream.begin_receipt(4 * MAX_BODY_BYTES);
     let mut reader = stream.clone();
     let drain = async {
         let mut sink = [0; 1024];
@@ -86,6 +102,18 @@
         .await;
 }
 
+/// Answers a request whose head did not arrive in time.
+async fn reject_late_head(runtime: &Rc<Runtime>, stream: &Stream) {
+    let incomplete = IncompleteBody {
+        error: ReceiptError::Late,
+        received: 0,
+        announced: None,
+    };
+    runtime.request_incomplete(incomplete.describe(None, stream.receipt_time()));
+    // The client may have gone.
+    let _ = stream.clone().write_all(LATE_HEAD_ANSWER).await;
+}
+
 async fn handle_request(
     runtime: &Rc<Runtime>,
     id: SocketId,
@@ -93,30 +121,6 @@
     mut request: HttpRequest,
     listener: Listener,
 ) -> http_types::Result<Response> {
-    if request.len().is_some_and(|len| len > MAX_BODY_BYTES) {
-        return Ok(reject_unread(stream, "the body is larger than 64 KiB"));
-    }
-    let mut body = Vec::new();
-    let mut limited_body = request.take_body().take(MAX_BODY_BYTES as u64 + 1);
-    let read = async { limited_body.read_to_end(&mut body).await.is_ok() };
-    let timed_out = async {
-        Timer::after(BODY_TIMEOUT).await;
-        false
-    };
-    if !read.or(timed_out).await {
-        return Ok(reject_unread(stream, "the body did not arrive completely"));
-    }
-    if body.len() > MAX_BODY_BYTES {
-        return Ok(reject_unread(stream, "the body is larger than 64 KiB"));
-    }
-    if stream.is_closed() {
-        // The client has given up. A controller with a backlog that answered abandoned
-        // requests would not catch up, since their clients send them again.
-        return Err(Error::from_str(
-            StatusCode::RequestTimeout,
-            "the client closed the connection",
-        ));
-    }
     let method = match request.method() {
         HttpMethod::Get => Method::Get,
         HttpMethod::Post => Method::Post,
@@ -125,14 +129,28 @@
         _ => Method::Other,
     };
     let path = request.url().path().to_owned();
+    let timeout = ClientKind::of(listener, method, &path).receive_timeout();
+    let body = match receive_body(stream, &mut request, MAX_BODY_BYTES, timeout).await {
+        Ok(body) => body,
+        Err(incomplete) => return reject_incomplete(runtime, stream, incomplete, path),
+    };
+    let receipt_time = stream.receipt_time();
     // Operators use JSON, all other clients MessagePack.
     let content_type = if path.starts_with("/admin/") {
         "application/json"
     } else {
         "application/msgpack"
     };
-    let answer = runtime.request(id, listener, method, path, body).await;
-    let Some(answer) = answer else {
+    let request = Request {
+        conn: runtime.next_request_id(),
+        socket: id,
+        listener,
+        method,
+        path,
+        body,
+        receipt_time,
+    };
+    let Some(answer) = runtime.request(request).await else {
         return Ok(refusal(
             StatusCode::ServiceUnavailable,
             "the controller gave no answer",
@@ -150,13 +168,24 @@
     Ok(response)
 }
 
-/// Rejects a request whose body is not read to its end; the connection cannot be reused after
+/// Rejects a request that was not received completely; the connection cannot be reused after
 /// that.
-fn reject_unread(stream: &Stream, error: &str) -> Response {
-    stream.set_read_budget(0);
-    let mut response = refusal(StatusCode::BadRequest, error);
+fn reject_incomplete(
+    runtime: &Rc<Runtime>,
+    stream: &Stream,
+    incomplete: IncompleteBody,
+    path: String,
+) -> http_types::Result<Response> {
+    let reason = incomplete.error.reason();
+    runtime.request_incomplete(incomplete.describe(Some(path), stream.receipt_time()));
+    // What is left of the body is not read.
+    stream.begin_receipt(0);
+    let Some(status) = incomplete.error.status() else {
+        return Err(Error::from_str(StatusCode::RequestTimeout, reason));
+    };
+    let mut response = refusal(status, reason);
     response.insert_header(headers::CONNECTION, "close");
-    response
+    Ok(response)
 }
 
 fn refusal(status: StatusCode, error: &str) -> Response {
--- a/crates/daemon/src/stream.rs
+++ b/crates/daemon/src/stream.rs
@@ -1,15 +1,13 @@
-//! Listening, and a TCP stream that has several owners and limits how many bytes are read.
+//! Listening, and a TCP stream that has several owners and limits how much is received, and for how
+//! long.
 
 use std::{
     io,
     net::{Shutdown, SocketAddrV4, TcpListener, TcpStream},
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_io::{Async, Timer};
@@ -40,11 +38,56 @@
     }
 }
 
-/// A TCP stream; clones share the connection and the read budget.
+/// How far the receipt of a message has come, and its limits.
+#[derive(Debug)]
+struct Receipt {
+    /// How many more bytes may be read.
+    budget: usize,
+    /// When the first byte came in.
+    started: Option<Instant>,
+    /// How long it may take, from the first byte; `None` if that is not limited.
+    timeout: Option<Duration>,
+    /// Fires when the receipt has to end. Set while more bytes are awaited.
+    timer: Option<Timer>,
+}
+
+impl Receipt {
+    fn new(budget: usize, timeout: Option<Duration>) -> Self {
+        Self {
+            budget,
+            started: None,
+            timeout,
+            timer: None,
+        }
+    }
+
+    fn received(&mut self, bytes: usize) {
+        self.started.get_or_insert_with(Instant::now);
+        if self.budget != usize::MAX {
+            self.budget -= bytes.min(self.budget);
+        }
+    }
+
+    /// When the receipt has to end; `None` while it has not begun.
+    fn ends_at(&self) -> Option<Instant> {
+        Some(self.started? + self.timeout?)
+    }
+
+    /// Waits for the end of the receipt while no bytes are there to be read.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(ends_at) = self.ends_at() else {
+            return Poll::Pending;
+        };
+        let timer = self.timer.get_or_insert_with(|| Timer::at(ends_at));
+        Pin::new(timer).poll(cx).map(|_| ())
+    }
+}
+
+/// A TCP stream; clones share the connection and the limits of what is received.
 #[derive(Clone, Debug)]
 pub struct Stream {
     tcp: Arc<Async<TcpStream>>,
-    read_budget: Arc<AtomicUsize>,
+    receipt: Arc<Mutex<Receipt>>,
 }
 
 impl Stream {
@@ -54,13 +97,42 @@
         let _ = tcp.get_ref().set_nodelay(true);
         Self {
             tcp: Arc::new(tcp),
-            read_budget: Arc::new(AtomicUsize::new(usize::MAX)),
+            receipt: Arc::new(Mutex::new(Receipt::new(usize::MAX, None))),
         }
     }
 
-    /// Sets how many more bytes may be read; after that, reads return end of stream.
-    pub fn set_read_budget(&self, bytes: usize) {
-        self.read_budget.store(bytes, Ordering::Relaxed);
+    fn receipt(&self) -> MutexGuard<'_, Receipt> {
+        self.receipt.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins to receive a message of up to `max_bytes`; after that, reads return end of stream.
+    pub fn begin_receipt(&self, max_bytes: usize) {
+        *self.receipt() = Receipt::new(max_bytes, None);
+    }
+
+    /// Sets how long the message may take to arrive, from its first byte on. After that, reads
+    /// fail with [`io::ErrorKind::TimedOut`] unless there is data.
+    pub fn limit_receipt_time(&self, timeout: Duration) {
+        let mut receipt = self.receipt();
+        receipt.timeout = Some(timeout);
+        receipt.timer = None;
+    }
+
+    /// Time since the first byte of the message; zero if none has come in.
+    pub fn receipt_time(&self) -> Duration {
+        let started = self.receipt().started;
+        started.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Whether a message has begun to arrive and its time is over.
+    pub fn is_receipt_overdue(&self) -> bool {
+        let ends_at = self.receipt().ends_at();
+        ends_at.is_some_and(|at| Instant::now() >= at)
+    }
+
+    /// Whether as many bytes as the message may have were read.
+    pub fn is_budget_spent(&self) -> bool {
+        self.receipt().budget == 0
     }
 
     /// Waits for the first bytes of a request and returns them without consuming them; `None`
@@ -98,22 +170,18 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let remaining = self.read_budget.load(Ordering::Relaxed);
-        if remaining == 0 {
+        let mut receipt = self.receipt();
+        if receipt.budget == 0 {
             return Poll::Ready(Ok(0));
         }
-        let max_len = buf.len().min(remaining);
+        let max_len = buf.len().min(receipt.budget);
         let read = Pin::new(&mut &*self.tcp).poll_read(cx, &mut buf[..max_len]);
-        if let Poll::Ready(Ok(n)) = read {
-            let _ =
-                self.read_budget
-                    .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |remaining| {
-                        Some(if remaining == usize::MAX {
-                            remaining
-                        } else {
-                            remaining - n.min(remaining)
-                        })
-                    });
+        match read {
+            Poll::Ready(Ok(bytes)) if bytes > 0 => receipt.received(bytes),
+            Poll::Pending if receipt.poll_end(cx).is_ready() => {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            _ => {}
         }
         read
     }
--- a/crates/daemon/src/wes.rs
+++ b/crates/daemon/src/wes.rs
@@ -107,7 +107,7 @@
             200 => serde_json::from_slice(&body)
                 .map(Attempt::Done)
                 .map_err(|e| WesError::Unreadable(self.0, e)),
-            503 => Ok(Attempt::NotExecuted),
+            408 | 503 => Ok(Attempt::NotExecuted),
             504 => Ok(Attempt::Unknown),
             status => {
                 let problem = serde_json::from_slice::<ErrorResponse>(&body);
--- a/crates/daemon/src/workflows/server.rs
+++ b/crates/daemon/src/workflows/server.rs
@@ -11,9 +11,9 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Timer, block_on};
-use futures_lite::{AsyncReadExt, FutureExt, stream::once};
+use futures_lite::{FutureExt, stream::once};
 use http_types::{Method as HttpMethod, Request, Response, StatusCode, headers, mime};
-use oliveshift_core::{Call, Method, Reply as CoreReply, Target};
+use oliveshift_core::{Call, CompleteBody, Method, Reply as CoreReply, Target};
 use oliveshift_wire::{
     encode,
     idempotency_key::{IDEMPOTENCY_KEY_HEADER, InvalidIdempotencyKey},
@@ -32,6 +32,7 @@
 use super::{config::Config, object_store::ObjectStore};
 use crate::{
     client::Client,
+    request_reader::{IncompleteBody, receive_body},
     stream::{self, Stream},
 };
 
@@ -41,6 +42,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a client connection may be idle or take over one request, including the answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a submission may take to arrive, from its first byte on.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Maximum number of client connections; further ones are closed.
 const MAX_CLIENT_CONNECTIONS: usize = 256;
 
@@ -207,10 +210,10 @@
     }
 
     async fn serve_connection(self: &Rc<Self>, stream: Stream) {
-        let endpoint = |request| async { Ok(self.handle_request(request).await) };
+        let endpoint = |request| async { Ok(self.handle_request(&stream, request).await) };
         let mut server = async_h1::server::Server::new(stream.clone(), endpoint);
         loop {
-            stream.set_read_budget(MAX_BUNDLE_BYTES + 64 * 1024);
+            stream.begin_receipt(MAX_BUNDLE_BYTES + 64 * 1024);
             let served = async { server.accept_one().await.ok() };
             let timed_out = async {
                 Timer::after(CLIENT_TIMEOUT).await;
@@ -223,7 +226,7 @@
         }
     }
 
-    async fn handle_request(self: &Rc<Self>, mut request: Request) -> Response {
+    async fn handle_request(self: &Rc<Self>, stream: &Stream, mut request: Request) -> Response {
         let path = request.url().path().to_owned();
         let Some(path) = path.strip_prefix(BASE_PATH) else {
             return problem(404, "no such path");
@@ -232,13 +235,7 @@
         match (request.method(), parts.as_slice()) {
             (HttpMethod::Get, ["service-info"]) => json(&self.service_info()),
             (HttpMethod::Get, ["runs"]) => self.list_runs(&request).await,
-            (HttpMethod::Post, ["runs"]) => match self.read_submission(&mut request).await {
-                Ok(submission) => {
-                    let answer = self.ask(UserRequest::Submit(Box::new(submission))).await;
-                    common_response(answer)
-                }
-                Err(reason) => problem(400, &reason),
-            },
+            (HttpMethod::Post, ["runs"]) => self.submit(stream, &mut request).await,
             (method, ["runs", id, rest @ ..]) => {
                 let Ok(id) = id.parse::<RunId>() else {
                     return problem(404, "no such run");
@@ -355,35 +352,48 @@
         }
     }
 
-    async fn read_submission(&self, request: &mut Request) -> Result<Submission, String> {
+    /// Answers a submission. Only one that was received to its announced end can be malformed.
+    async fn submit(self: &Rc<Self>, stream: &Stream, request: &mut Request) -> Response {
+        let received = receive_body(stream, request, MAX_BUNDLE_BYTES, RECEIVE_TIMEOUT).await;
+        let body = match received {
+            Ok(body) => body,
+            Err(incomplete) => return incomplete_response(stream, &incomplete),
+        };
+        match self.parse_submission(request, &body).await {
+            Ok(submission) => {
+                let answer = self.ask(UserRequest::Submit(Box::new(submission))).await;
+                common_response(answer)
+            }
+            Err(reason) => problem(400, &reason),
+        }
+    }
+
+    async fn parse_submission(
+        &self,
+        request: &Request,
+        body: &CompleteBody,
+    ) -> Result<Submission, String> {
         let key = request.header(IDEMPOTENCY_KEY_HEADER);
         // In the form of a structured field, the key is quoted.
         let key = key.map(|key| key.as_str().trim().trim_matches('"').parse());
         let idempotency_key = key
             .transpose()
             .map_err(|e: InvalidIdempotencyKey| e.to_string())?;
-        let bundle = self.read_bundle(request).await?;
+        let bundle = self.parse_bundle(request, body).await?;
         Ok(Submission {
             bundle,
             idempotency_key,
         })
     }
 
-    /// Reads a submitted document and its inputs from the multipart body of a request.
-    async fn read_bundle(&self, request: &mut Request) -> Result<Bundle, String> {
+    /// Parses a submitted document and its inputs, the multipart body of a request.
+    async fn parse_bundle(&self, request: &Request, body: &CompleteBody) -> Result<Bundle, String> {
         let kind = request.header(headers::CONTENT_TYPE);
         let kind = kind.map(|k| k.as_str().to_owned()).unwrap_or_default();
         let boundary = multer::parse_boundary(kind);
         let boundary =
             boundary.map_err(|_| "expected a body of type multipart/form-data".to_owned())?;
-        let mut body = Vec::new();
-        let mut taken = request.take_body().take(MAX_BUNDLE_BYTES as u64 + 1);
-        let read = taken.read_to_end(&mut body).await;
-        read.map_err(|e| format!("the body cannot be read: {e}"))?;
-        if body.len() > MAX_BUNDLE_BYTES {
-            return Err(format!("the body is larger than {MAX_BUNDLE_BYTES} bytes"));
-        }
-        let body = once(Ok::<_, std::io::Error>(body));
+        let body = once(Ok::<_, std::io::Error>(body.to_vec()));
         let mut parts = multer::Multipart::new(body, boundary);
         let mut bundle = Bundle {
             main: String::new(),
@@ -425,6 +435,23 @@
     }
 }
 
+/// The answer to a submission that was not received completely; the connection cannot be reused
+/// after that.
+fn incomplete_response(stream: &Stream, incomplete: &IncompleteBody) -> Response {
+    let reason = incomplete.error.reason();
+    log::info!(
+        "a submission was not received: {reason}; {:.1?} after its first byte, {} of {:?} bytes",
+        stream.receipt_time(),
+        incomplete.received,
+        incomplete.announced
+    );
+    stream.begin_receipt(0);
+    let status = incomplete.error.status();
+    let mut response = problem(status.unwrap_or(StatusCode::RequestTimeout).into(), reason);
+    response.insert_header(headers::CONNECTION, "close");
+    response
+}
+
 /// The state of a run in WES terms.
 fn wes_state(state: RunState) -> State {
     match state {
--- /dev/null
+++ b/crates/daemon/tests/requests/main.rs
@@ -0,0 +1,5 @@
+//! Requests to real controllers on loopback: how they arrive, and what they are answered.
+
+mod delivery;
+mod deployment;
+mod http;
--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -878,3 +878,31 @@
     assert_eq!(code, Some(2), "{err}");
     assert!(err.contains("not an idempotency key"), "{err}");
 }
+
+#[test]
+fn a_submission_that_did_not_arrive_completely_is_not_called_malformed() {
+    let services = start_services("incomplete", None);
+    let instance = start_instance(&services, "incomplete");
+    let part = "--zz\r\ncontent-disposition: form-data; name=\"workflow_type\"\r\n\r\nCWL\r\n";
+    let framings = [
+        format!("content-length: 1000\r\n\r\n{part}"),
+        format!(
+            "transfer-encoding: chunked\r\n\r\n{:x}\r\n{part}\r\n",
+            part.len()
+        ),
+    ];
+    for framing in framings {
+        let mut stream = TcpStream::connect(instance.addr).expect("a connection");
+        let head = "POST /ga4gh/wes/v1/runs HTTP/1.1\r\nhost: x\r\n\
+                    content-type: multipart/form-data; boundary=zz\r\n";
+        let request = format!("{head}{framing}");
+        stream.write_all(request.as_bytes()).expect("sent");
+        stream.shutdown(Shutdown::Write).expect("half-closed");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 408"),
+            "{answer}"
+        );
+    }
+}
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -8,7 +8,7 @@
     worker::{Redirect, Report, ReportAnswer},
 };
 
-use super::{CONTROLLER_COUNT, Event, MS, REPORT_TIMEOUT, Requester, World};
+use super::{CONTROLLER_COUNT, Event, MS, REPORT_TIMEOUT, Requester, World, network::complete};
 use crate::{
     contacts::ReportOutcome,
     evidence::Hung,
@@ -227,7 +227,8 @@
             listener: Listener::Public,
             method: Method::Post,
             path: "/checkin".into(),
-            body,
+            body: complete(body),
+            receipt_time: Duration::ZERO,
         };
         self.deliver_request(node, connection.is_none(), request);
     }
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oliveshift_core::{
-    Call, CallId, Input, Listener, Method, Reply, Request, SocketId, Target,
+    Call, CallId, CompleteBody, Input, Listener, Method, Reply, Request, SocketId, Target,
     records::{FormatLevel, Key},
     sockets::OutboundKind,
 };
@@ -17,6 +17,12 @@
     state::StateResponse,
 };
 
+/// The body of a request that arrives whole.
+pub(super) fn complete(bytes: Vec<u8>) -> CompleteBody {
+    let announced = bytes.len();
+    CompleteBody::new(bytes, Some(announced)).expect("a body as long as announced")
+}
+
 /// Converts a call to a peer into the request that the peer receives.
 pub(super) fn peer_request(call: Call, conn: u64, socket: SocketId) -> Request {
     Request {
@@ -25,7 +31,8 @@
         listener: Listener::Internal,
         method: call.method,
         path: call.path,
-        body: call.body,
+        body: complete(call.body),
+        receipt_time: Duration::ZERO,
     }
 }
 
@@ -89,7 +96,8 @@
             listener: Listener::Public,
             method,
             path,
-            body,
+            body: complete(body),
+            receipt_time: Duration::ZERO,
         };
         self.deliver_request(node, true, request);
     }
--- a/crates/testkit/src/world/processes.rs
+++ b/crates/testkit/src/world/processes.rs
@@ -4,7 +4,7 @@
 
 use oliveshift_core::{Close, Controller, Input, Listener, Method, Now, Output, Request, SocketId};
 
-use super::{CONTROLLER_COUNT, Event, MS, Requester, S, World};
+use super::{CONTROLLER_COUNT, Event, MS, Requester, S, World, network::complete};
 use crate::{faults::Fault, net::Sockets, rules::RuleViolation};
 
 impl World {
@@ -32,7 +32,8 @@
             listener: Listener::Internal,
             method: Method::Post,
             path: "/admin/upgrade".into(),
-            body: format!(r#"{{"without":"n-{node}"}}"#).into_bytes(),
+            body: complete(format!(r#"{{"without":"n-{node}"}}"#).into_bytes()),
+            receipt_time: Duration::ZERO,
         };
         self.deliver_input((node + 1) % CONTROLLER_COUNT, Input::Request(request));
     }
