Tests of forms, mutations, held starts and unexpected machines

Four matters that were seen on similar services, a test each:

Half-sent requests: slow_clients.rs. Direct starts held up for 2 to 170 s with cancellations meanwhile, in seven situations (holder killed, machine deaf, mute or hanging, session ended, state service out for longer than a cancellation has): no rule is broken, and in each situation starts of jobs arrived that were cancelled by then. With NoStops the test notices. Rentals and returns carried out 1 s to 120 s late, alone and beside restarts of all controllers, and machines that are back at once in their next session: no rule is broken. An address that passes to another machine is not simulated: machines of the simulated network have their names for addresses.

--- a/crates/daemon/tests/requests/deployment.rs
+++ b/crates/daemon/tests/requests/deployment.rs
@@ -37,6 +37,8 @@
 pub struct Deployment {
     /// The controllers' addresses for users and workers.
     pub public: Vec<SocketAddr>,
+    /// The controllers' addresses for each other and for operators.
+    pub internal: Vec<SocketAddr>,
     controllers: Vec<Child>,
     directory: PathBuf,
     stop: Arc<AtomicBool>,
@@ -77,6 +79,7 @@
         });
         let deployment = Self {
             public: addresses.iter().map(|[public, _]| *public).collect(),
+            internal: addresses.iter().map(|[_, internal]| *internal).collect(),
             controllers: controllers.collect(),
             directory,
             stop,
@@ -116,6 +119,17 @@
             .expect("a number of KiB")
     }
 
+    /// The number of sockets that a controller has open.
+    pub fn open_sockets(&self, controller: usize) -> usize {
+        let path = format!("/proc/{}/fd", self.controllers[controller].id());
+        let descriptors = std::fs::read_dir(path).expect("the controller runs");
+        let links = descriptors
+            .flatten()
+            .filter_map(|d| std::fs::read_link(d.path()).ok());
+        let sockets = links.filter(|to| to.to_string_lossy().starts_with("socket:"));
+        sockets.count()
+    }
+
     /// Whether all controllers are still running.
     pub fn is_running(&mut self) -> bool {
         let mut controllers = self.controllers.iter_mut();
--- a/crates/daemon/tests/requests/main.rs
+++ b/crates/daemon/tests/requests/main.rs
@@ -3,5 +3,6 @@
 mod delivery;
 mod deployment;
 mod http;
+mod mutations;
 mod slow_clients;
 mod submissions;
--- a/crates/testkit/src/evidence.rs
+++ b/crates/testkit/src/evidence.rs
@@ -108,6 +108,13 @@
     pub delayed_orders: usize,
     /// Requests at the end of a job: cancellations, queries, repeated submissions.
     pub requests_at_job_end: [usize; 3],
+    /// Starts in delayed direct orders that arrived after the user had been told that the job is
+    /// cancelled.
+    pub late_starts_of_cancelled_jobs: usize,
+    /// Rental and return requests executed late.
+    pub late_cloud_calls: usize,
+    /// Machines that were back at once after they had lost their tasks, and the number of these.
+    pub machine_restarts: (usize, usize),
     /// Direct orders that arrived late.
     pub late_orders: Vec<LateOrder>,
     /// Starts in late copies of direct orders, see [`crate::Fault::CopiedOrders`].
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -294,6 +294,17 @@
         /// End of the fault.
         until: Duration,
     },
+    /// Some machines lose all their tasks and are back at once under their names, with
+    /// workers that have forgotten the highest token.
+    MachineRestart {
+        /// Whether the workers still know their session, and go on with the next one. Otherwise
+        /// they begin with the first session.
+        remembers_session: bool,
+        /// Affected machines: those whose number modulo 3 equals this.
+        machine_group: usize,
+        /// Time of the event.
+        at: Duration,
+    },
     /// Some machines fail and lose all their tasks.
     MachineCrash {
         /// Affected machines: those whose number modulo 3 equals this.
@@ -333,6 +344,16 @@
         /// End of the fault.
         until: Duration,
     },
+    /// One in `one_in` rental and return requests gets no answer and is executed 1 s to
+    /// [`MAX_CLOUD_DELAY`] later.
+    LateCloudCalls {
+        /// One in this many is affected.
+        one_in: u32,
+        /// Start of the fault.
+        from: Duration,
+        /// End of the fault.
+        until: Duration,
+    },
     /// A copy of one in `one_in` direct orders that were executed and answered arrives 1 s to
     /// 16 s later. It must have no effect, so it does not count as a disturbance when the end
     /// of the faults is determined.
@@ -414,6 +435,7 @@
             | Self::SlowState { from, until, .. }
             | Self::DelayedOrders { from, until, .. }
             | Self::CopiedOrders { from, until, .. }
+            | Self::LateCloudCalls { from, until, .. }
             | Self::RequestsAtJobEnd { from, until, .. }
             | Self::UnusualRequests { from, until, .. }
             | Self::PeersUnreachable { from, until } => Some(from..until),
@@ -423,6 +445,7 @@
             | Self::FaultyMachine { .. }
             | Self::CancelBurst { .. }
             | Self::MachineCrash { .. }
+            | Self::MachineRestart { .. }
             | Self::RollingUpgrade { .. }
             | Self::PermanentLoss { .. }
             | Self::WriteOff { .. }
@@ -442,7 +465,9 @@
         } => at + restart_after,
         Fault::CancelBurst { at, .. }
         | Fault::SpotReclaim { at }
+        | Fault::MachineRestart { at, .. }
         | Fault::MachineCrash { at, .. } => at,
+        Fault::LateCloudCalls { until, .. } => until + MAX_CLOUD_DELAY,
         Fault::LateWrites { until, .. } => until + MAX_WRITE_DELAY,
         Fault::LateReports { until, .. } => until + MAX_REPORT_DELAY,
         Fault::DelayedOrders { until, .. } => until + MAX_ORDER_DELAY,
@@ -459,6 +484,8 @@
 /// Maximum delay of a direct order under [`Fault::DelayedOrders`], and of a copy under
 /// [`Fault::CopiedOrders`].
 pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(16);
+/// Maximum delay of a request under [`Fault::LateCloudCalls`].
+pub const MAX_CLOUD_DELAY: Duration = Duration::from_secs(120);
 
 /// Maximum delay of a read under [`Fault::ReadAcrossMoves`]; a controller waits 1.5 s for it.
 pub const MAX_READ_DELAY: Duration = Duration::from_millis(1200);
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -383,6 +383,24 @@
         }
     }
 
+    /// Drops all tasks and begins anew, as a machine that is back at once.
+    /// Goes on with the next session if it remembers its session, and with the first otherwise.
+    pub fn restart(&mut self, now: Duration, remembers_session: bool, rules: &mut RuleChecker) {
+        self.drop_tasks(rules);
+        let session = match remembers_session {
+            true => self.session + 1,
+            false => 1,
+        };
+        let site = self.site.clone();
+        let (kind, lease) = (self.kind.clone(), self.lease);
+        *self = Self {
+            session,
+            faulty: self.faulty,
+            reclaim_at: self.reclaim_at,
+            ..Self::new(self.name.clone(), site, kind, lease, now)
+        };
+    }
+
     /// Drops all tasks, which count as lost.
     pub fn drop_tasks(&mut self, rules: &mut RuleChecker) {
         let on = self.tasks.values();
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -38,7 +38,7 @@
     api_client::ApiClient,
     cloud::Cloud,
     evidence::Evidence,
-    faults::{Fault, RESTART_DELAY, last_fault_end, upgrade_complete_at},
+    faults::{Fault, MAX_ORDER_DELAY, RESTART_DELAY, last_fault_end, upgrade_complete_at},
     net::{ConnectionCounts, Sockets},
     rules::{RuleChecker, Site},
     state::{Limits, StateService},
@@ -125,6 +125,7 @@
     FaultyMachine(usize),
     /// Machines whose number leaves this remainder modulo 3.
     MachineCrash(usize),
+    MachineRestart(usize, bool),
     /// Number of the controller's writes that were executed when it sent this one.
     DelayedWrite(usize, usize, Call),
     DelayedOrder(usize, u64, Call),
@@ -246,6 +247,8 @@
     api_client_rng: fastrand::Rng,
     /// Separate from `rng`, so that copies without effect do not change the other draws.
     copies_rng: fastrand::Rng,
+    /// Maximum delay of a direct order that is held up.
+    max_order_delay: Duration,
     /// Number of submissions, which are sent in all forms in turn.
     submissions_sent: usize,
     /// Revision of the state service when each process of a controller ended.
@@ -372,6 +375,7 @@
             rules,
             api_client_rng: fastrand::Rng::with_seed(seed),
             copies_rng: fastrand::Rng::with_seed(seed),
+            max_order_delay: MAX_ORDER_DELAY,
             submissions_sent: 0,
             revisions_at_end: BTreeMap::new(),
             fixed_delays: false,
@@ -433,6 +437,11 @@
                 Fault::ProcessPause { node, until, .. } => {
                     world.schedule(until, Event::ResumeProcess(node))
                 }
+                Fault::MachineRestart {
+                    remembers_session,
+                    machine_group,
+                    at,
+                } => world.schedule(at, Event::MachineRestart(machine_group, remembers_session)),
                 Fault::MachineCrash { machine_group, at } => {
                     world.schedule(at, Event::MachineCrash(machine_group))
                 }
@@ -461,6 +470,11 @@
         self.horizon = Some(horizon);
     }
 
+    /// Sets the maximum delay of a direct order under [`Fault::DelayedOrders`].
+    pub fn set_max_order_delay(&mut self, max_delay: Duration) {
+        self.max_order_delay = max_delay;
+    }
+
     /// Gives a controller settings from before a team was added.
     pub fn remove_team(&mut self, node: usize, team: &str) {
         let teams = &mut self.nodes[node].settings.deployment.teams;
@@ -715,6 +729,9 @@
             Event::CopiedOrder(node, incarnation, call) => {
                 self.execute_copied_order(node, incarnation, call)
             }
+            Event::MachineRestart(machine_group, remembers_session) => {
+                self.restart_machines(machine_group, remembers_session)
+            }
             Event::MachineCrash(machine_group) => {
                 let names: Vec<_> = self.workers.keys().cloned().collect();
                 for name in names
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -34,6 +34,17 @@
         self.dead_machines.insert(name.to_owned());
     }
 
+    /// Restarts machines, which lose their tasks and what their workers know.
+    pub(super) fn restart_machines(&mut self, machine_group: usize, remembers_session: bool) {
+        let now = self.now;
+        let selected = self.workers.values_mut();
+        for worker in selected.filter(|w| is_selected(&w.name, machine_group)) {
+            let (machines, tasks) = self.evidence.machine_restarts;
+            self.evidence.machine_restarts = (machines + 1, tasks + worker.tasks());
+            worker.restart(now, remembers_session, &mut self.rules);
+        }
+    }
+
     /// Returns the end of the hang of a machine, if it hangs now.
     pub(super) fn hangs_until(&self, name: &str) -> Option<Duration> {
         self.faults.iter().find_map(|f| match f {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -8,12 +8,16 @@
     records::{FormatLevel, Key},
     sockets::OutboundKind,
 };
-use oliveshift_wire::{decode, encode, state::Txn, worker::DirectOrders};
+use oliveshift_wire::{
+    decode, encode,
+    state::Txn,
+    worker::{DirectOrders, Order},
+};
 
 use super::{Event, MS, Requester, S, World, ZONES};
 use crate::{
     evidence::{LateOrder, LateWrite},
-    faults::{Direction, Fault, MAX_ORDER_DELAY, MAX_WRITE_DELAY},
+    faults::{Direction, Fault, MAX_CLOUD_DELAY, MAX_WRITE_DELAY},
     state::StateResponse,
 };
 
@@ -307,7 +311,7 @@
                 return self.schedule(timeout, Event::Reply(node, incarnation, id, Reply::Lost));
             }
             if cut.is_none() && self.draw_delayed_order() {
-                let held = MS * self.rng.u32(2000..MAX_ORDER_DELAY.as_millis() as u32);
+                let held = MS * self.rng.u32(2000..self.max_order_delay.as_millis() as u32);
                 self.schedule(timeout, Event::Reply(node, incarnation, id, Reply::Lost));
                 return self.schedule(
                     self.now + held,
@@ -315,6 +319,12 @@
                 );
             }
         }
+        if call.to == Target::Cloud && call.method == Method::Post && self.draw_late_cloud_call() {
+            let lag = MS * self.rng.u32(1000..MAX_CLOUD_DELAY.as_millis() as u32);
+            self.evidence.late_cloud_calls += 1;
+            self.schedule(timeout, Event::Reply(node, incarnation, id, Reply::Lost));
+            return self.schedule(self.now + lag, Event::DuplicateCall(call));
+        }
         let late = call.path == "/multi" && cut.is_none() && self.draw_late_write();
         if late {
             let lag = MS * self.rng.u32(2000..MAX_WRITE_DELAY.as_millis() as u32);
@@ -369,6 +379,13 @@
         })
     }
 
+    fn draw_late_cloud_call(&mut self) -> bool {
+        self.draw_one_in(|f| match f {
+            Fault::LateCloudCalls { one_in, .. } => Some(*one_in),
+            _ => None,
+        })
+    }
+
     /// Records whether the sender of a delayed order had ended, and whether the worker
     /// rejects the order by its fencing token.
     pub(super) fn record_late_order(&mut self, node: usize, incarnation: u64, call: &Call) {
@@ -385,6 +402,11 @@
             sender_ended: self.nodes[node].incarnation != incarnation,
             fenced: orders.token < worker.token(),
         });
+        let cancelled = orders.orders.iter().filter(|order| match order {
+            Order::Start { task, .. } => self.rules.is_reported_cancelled(&task.job),
+            _ => false,
+        });
+        self.evidence.late_starts_of_cancelled_jobs += cancelled.count();
     }
 
     pub(super) fn draw_late_write(&mut self) -> bool {
