Simulated users and the soak's send slowly; submissions are a module of their own

The simulated network has whole requests only: the simulation gives up those that are late in place of the program. In the soak, where real programs read them, one in four submissions and cancellations is sent in two parts, the second up to 4.5 s late, and all encodings are used in turn.

StaleVerdicts, a new switch, refuses submissions for good without a read: refusals_without_a_read_are_caught notices.

The rate of an active fault is found in one place of the testkit instead of four.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod sockets;
 mod starvation;
 mod store;
+mod submissions;
 mod team_usage;
 mod throughput;
 pub mod tuning;
--- a/crates/core/src/sabotage.rs
+++ b/crates/core/src/sabotage.rs
@@ -37,6 +37,8 @@
     OldLife,
     /// User queries are answered from memory, without reading later changes.
     FromMemory,
+    /// Submissions are refused for good on the knowledge of the controller alone, without a read.
+    StaleVerdicts,
     /// Users are told that a job is cancelled before the state service has confirmed
     /// the write.
     UnconfirmedCancels,
@@ -103,6 +105,7 @@
             Self::NoProof,
             Self::NoContactLimit,
             Self::FromMemory,
+            Self::StaleVerdicts,
             Self::OldLife,
             Self::NoLateStarts,
             Self::EarlyForget,
--- a/crates/daemon/tests/requests/delivery.rs
+++ b/crates/daemon/tests/requests/delivery.rs
@@ -291,5 +291,8 @@
         .filter_map(|r| r.join().expect("a request was sent"));
     let failures: Vec<_> = failures.collect();
     assert!(failures.is_empty(), "{failures:#?}");
+    let log = deployment.log(0);
+    let mut refusals = log.lines().filter(|line| line.contains("refused with 408"));
+    assert!(refusals.next().is_some(), "{log}");
     assert!(deployment.is_running());
 }
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -3,15 +3,20 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream},
+    pin::Pin,
     rc::Rc,
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use async_dup::Arc;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, FutureExt};
-use http_types::{Method as HttpMethod, Request, Response, StatusCode, Url};
+use futures_lite::{
+    AsyncRead, AsyncReadExt, FutureExt,
+    io::{BufReader, Cursor},
+};
+use http_types::{Body, Method as HttpMethod, Request, Response, StatusCode, Url};
 use oliveshift_core::Method;
 
 /// An HTTP request, received or to be sent.
@@ -23,6 +28,8 @@
     pub path: String,
     /// Message body.
     pub body: Vec<u8>,
+    /// Delay of the second half of the body, when the request is sent.
+    pub delay: Option<Duration>,
 }
 
 /// An HTTP response.
@@ -98,7 +105,12 @@
         Some(query) => format!("{}?{query}", url.path()),
         None => url.path().to_owned(),
     };
-    let received = HttpRequest { method, path, body };
+    let received = HttpRequest {
+        method,
+        path,
+        body,
+        delay: None,
+    };
     let no_answer =
         || http_types::Error::from_str(StatusCode::RequestTimeout, "the handler gave no response");
     let reply = handler(received).await.ok_or_else(no_answer)?;
@@ -122,6 +134,29 @@
     exchange.or(timed_out).await
 }
 
+/// A body whose second half follows after a delay.
+fn halved_body(bytes: &[u8], delay: Duration) -> Body {
+    let (first, second) = bytes.split_at(bytes.len() / 2);
+    let pause = Pause(Timer::after(delay));
+    let first = Cursor::new(first.to_vec()).chain(pause);
+    let halves = first.chain(Cursor::new(second.to_vec()));
+    Body::from_reader(BufReader::new(halves), Some(bytes.len()))
+}
+
+/// A reader that ends after some time, without any bytes.
+struct Pause(Timer);
+
+impl AsyncRead for Pause {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(Pin::new(&mut self.0).poll(cx));
+        Poll::Ready(Ok(0))
+    }
+}
+
 async fn exchange(
     address: SocketAddrV4,
     received: HttpRequest,
@@ -136,7 +171,10 @@
     };
     let mut request = Request::new(method, url);
     request.insert_header("connection", "close");
-    request.set_body(received.body);
+    request.set_body(match received.delay {
+        Some(delay) => halved_body(&received.body, delay),
+        None => received.body.into(),
+    });
     let mut response = async_h1::connect(Arc::new(stream), request).await?;
     let status = u16::from(response.status());
     let mut body = Vec::new();
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -40,6 +40,9 @@
     pub accepted: usize,
     /// Number of accepted jobs that were never reported to their user as ended.
     pub open: usize,
+    /// Number of submissions and cancellations whose body was sent in two parts, and of requests
+    /// that were answered as incomplete.
+    pub slow_requests: (u32, u32),
     /// Number of task starts.
     pub started: u64,
     /// Number of completed tasks.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -241,6 +241,7 @@
             seconds: site.now().as_secs(),
             too_old: site.state.too_old,
             accepted,
+            slow_requests: self.users.slow_request_counts(),
             open,
             started: site.rules.started,
             done: site.rules.done.len(),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -379,5 +379,6 @@
         method,
         path: path.to_owned(),
         body,
+        delay: None,
     }
 }
--- a/crates/soak/src/users.rs
+++ b/crates/soak/src/users.rs
@@ -1,14 +1,20 @@
 //! Simulated users, who submit jobs, poll their status and cancel some of them.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use async_executor::LocalExecutor;
 use oliveshift_core::Method;
 use oliveshift_wire::{
-    JobId, decode, encode,
+    JobId, decode,
     job::{JobPhase, JobSpec, JobStatus, Priority, Shape},
 };
 
+use oliveshift_testkit::SubmissionForm;
+
 use crate::{
     controllers::Addresses,
     http::{HttpRequest, HttpResponse, send_with_timeout},
@@ -17,6 +23,12 @@
 
 /// Timeout of a user's request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a request whose body arrives in two parts.
+const SLOW_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// One in this many submissions and cancellations arrives in two parts, the second of which is
+/// delayed by a multiple of this step.
+const SLOW_REQUEST_ONE_IN: u32 = 4;
+const SLOW_REQUEST_STEP: Duration = Duration::from_millis(300);
 /// Time until a user's next request, after its job's status was received.
 const POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// Time until a user's next request, after a failed one or one without a status.
@@ -50,6 +62,10 @@
 #[derive(Debug, Default)]
 pub struct Users {
     users: RefCell<Vec<User>>,
+    /// Number of submissions and cancellations that were sent.
+    writes_sent: Cell<u32>,
+    /// Number of requests that were answered with 408.
+    given_up: Cell<u32>,
 }
 
 impl Users {
@@ -58,6 +74,8 @@
         let users = (0..jobs).map(|number| draw_user(rng, number, end));
         Self {
             users: RefCell::new(users.collect()),
+            writes_sent: Cell::new(0),
+            given_up: Cell::new(0),
         }
     }
 
@@ -101,6 +119,31 @@
         }
     }
 
+    /// The form of the next submission; all are used in turn.
+    fn next_form(&self) -> SubmissionForm {
+        let forms = SubmissionForm::ALL;
+        forms[self.writes_sent.get() as usize % forms.len()]
+    }
+
+    /// The number of submissions and cancellations whose body was sent in two parts, and of those
+    /// that were answered as incomplete.
+    pub fn slow_request_counts(&self) -> (u32, u32) {
+        let sent = self.writes_sent.get().div_ceil(SLOW_REQUEST_ONE_IN);
+        (sent, self.given_up.get())
+    }
+
+    /// Has the body of one in [`SLOW_REQUEST_ONE_IN`] submissions and cancellations arrive in two
+    /// parts, with delays of up to more than the controllers wait.
+    fn vary(&self, request: HttpRequest) -> HttpRequest {
+        let sent = self.writes_sent.get();
+        self.writes_sent.set(sent + 1);
+        let delay = SLOW_REQUEST_STEP * (sent / SLOW_REQUEST_ONE_IN % 16);
+        HttpRequest {
+            delay: sent.is_multiple_of(SLOW_REQUEST_ONE_IN).then_some(delay),
+            ..request
+        }
+    }
+
     async fn send_request(
         self: Rc<Self>,
         site: SharedSite,
@@ -109,10 +152,17 @@
         addresses: Rc<Addresses>,
     ) {
         let spec = self.users.borrow()[index].spec.clone();
-        let (job, request) = prepare(&site, spec, kind);
+        let (job, mut request) = prepare(&site, spec, kind, self.next_form());
+        if matches!(kind, RequestKind::Submit | RequestKind::Cancel) {
+            request = self.vary(request);
+        }
+        let timeout = match request.delay {
+            Some(_) => SLOW_REQUEST_TIMEOUT,
+            None => REQUEST_TIMEOUT,
+        };
         let sent = site.borrow().now();
         let to = site.borrow_mut().rng.usize(0..addresses.public.len());
-        let response = send_with_timeout(addresses.public[to], request, REQUEST_TIMEOUT).await;
+        let response = send_with_timeout(addresses.public[to], request, timeout).await;
         site.borrow_mut().advance();
         self.handle_response(&site, index, kind, &job, sent, response);
     }
@@ -145,6 +195,7 @@
                 user.ended |= matches!(status.phase, JobPhase::Done | JobPhase::Cancelled);
             }
             (404, _) if kind == RequestKind::PollUnknown => {}
+            (408, _) => self.given_up.set(self.given_up.get() + 1),
             (400 | 404 | 422, _) => {
                 site.rules.job_denied(now, sent, job);
                 user.refused |= kind == RequestKind::Submit && !user.accepted;
@@ -168,12 +219,17 @@
 
 /// Builds a request, and returns the job that it is about. Submissions and cancellations
 /// are registered with the rules before they are sent.
-fn prepare(site: &SharedSite, spec: JobSpec, kind: RequestKind) -> (JobId, HttpRequest) {
+fn prepare(
+    site: &SharedSite,
+    spec: JobSpec,
+    kind: RequestKind,
+    form: SubmissionForm,
+) -> (JobId, HttpRequest) {
     let mut site = site.borrow_mut();
     let job = spec.id.clone();
     match kind {
         RequestKind::Submit => {
-            let body = encode(&spec);
+            let body = form.encode(&spec);
             site.rules.jobs.insert(job.clone(), spec);
             (job, controller_request(Method::Post, "/work", body))
         }
--- a/crates/testkit/src/evidence.rs
+++ b/crates/testkit/src/evidence.rs
@@ -136,6 +136,9 @@
     /// are done, counted when sent; jobs that cannot run (status 422) and jobs that lack a
     /// field (status 400), counted when rejected with the expected status.
     pub unusual_requests: [usize; 4],
+    /// Requests of users that took long to arrive: those that arrived in time, and those that
+    /// were given up.
+    pub slow_requests: (usize, usize),
     /// Answers of the state service delayed by a second or more.
     pub slow_answers: usize,
     /// Longest time between two answers about the same accepted job, counted from the end of
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -381,6 +381,16 @@
         /// End of the fault.
         until: Duration,
     },
+    /// One in `one_in` requests of users takes up to 7 s to arrive completely. A controller gives
+    /// up those that take longer than their senders leave for that.
+    SlowRequests {
+        /// One in this many is affected.
+        one_in: u32,
+        /// Start of the fault.
+        from: Duration,
+        /// End of the fault.
+        until: Duration,
+    },
     /// Users repeat submissions, cancel jobs that are done, and submit jobs that fit no
     /// machine or lack a field, each once a second.
     UnusualRequests {
@@ -438,6 +448,7 @@
             | Self::LateCloudCalls { from, until, .. }
             | Self::RequestsAtJobEnd { from, until, .. }
             | Self::UnusualRequests { from, until, .. }
+            | Self::SlowRequests { from, until, .. }
             | Self::PeersUnreachable { from, until } => Some(from..until),
             Self::Crash { .. }
             | Self::Restart { .. }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod processes;
 mod setup;
+mod slow_requests;
 mod unusual_requests;
 mod users;
 
@@ -247,6 +248,8 @@
     api_client_rng: fastrand::Rng,
     /// Separate from `rng`, so that copies without effect do not change the other draws.
     copies_rng: fastrand::Rng,
+    /// Separate from `rng`, so that slow requests do not change the other draws.
+    deliveries_rng: fastrand::Rng,
     /// Maximum delay of a direct order that is held up.
     max_order_delay: Duration,
     /// Number of submissions, which are sent in all forms in turn.
@@ -375,6 +378,7 @@
             rules,
             api_client_rng: fastrand::Rng::with_seed(seed),
             copies_rng: fastrand::Rng::with_seed(seed),
+            deliveries_rng: fastrand::Rng::with_seed(seed),
             max_order_delay: MAX_ORDER_DELAY,
             submissions_sent: 0,
             revisions_at_end: BTreeMap::new(),
@@ -857,8 +861,14 @@
     /// Draws whether a fault applies to one message or event: with probability 1/n if a
     /// matching fault with rate n is active.
     fn draw_one_in(&mut self, one_in: impl Fn(&Fault) -> Option<u32>) -> bool {
+        let one_in = self.active_rate(one_in);
+        one_in.is_some_and(|n| self.rng.u32(0..n) == 0)
+    }
+
+    /// The rate of the first active fault that has one: one in this many is affected.
+    fn active_rate(&self, one_in: impl Fn(&Fault) -> Option<u32>) -> Option<u32> {
         let lasts = |f: &&Fault| f.span().is_some_and(|span| span.contains(&self.now));
-        let one_in = self.faults.iter().filter(lasts).find_map(one_in);
-        one_in.is_some_and(|n| self.rng.u32(0..n.max(1)) == 0)
+        let one_in = self.faults.iter().filter(lasts).find_map(one_in)?;
+        Some(one_in.max(1))
     }
 }
--- a/crates/testkit/src/world/copied_orders.rs
+++ b/crates/testkit/src/world/copied_orders.rs
@@ -19,18 +19,11 @@
     /// Draws whether a copy of executed orders arrives later.
     pub(super) fn draw_copied_order(&mut self, node: usize, incarnation: u64, call: &Call) {
         let now = self.now;
-        let one_in = self.faults.iter().find_map(|f| match f {
-            Fault::CopiedOrders {
-                one_in,
-                from,
-                until,
-            } if (*from..*until).contains(&now) => Some(*one_in),
+        let one_in = self.active_rate(|f| match f {
+            Fault::CopiedOrders { one_in, .. } => Some(*one_in),
             _ => None,
         });
-        let Some(one_in) = one_in else {
-            return;
-        };
-        if self.copies_rng.u32(0..one_in.max(1)) != 0 {
+        if one_in.is_none_or(|one_in| self.copies_rng.u32(0..one_in) != 0) {
             return;
         }
         let max_delay_ms = MAX_ORDER_DELAY.as_millis() as u32;
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -88,6 +88,10 @@
         body: Vec<u8>,
     ) {
         self.sockets.requests += 1;
+        let receipt_time = match requester {
+            Requester::User { .. } => self.draw_receipt_time(),
+            _ => None,
+        };
         let (incarnation, id) = (self.nodes[node].incarnation, SocketId(conn));
         if !self.open_connection(node, id, Listener::Public) {
             return self.abort_request(requester, node);
@@ -103,7 +107,10 @@
             body: complete(body),
             receipt_time: Duration::ZERO,
         };
-        self.deliver_request(node, true, request);
+        match receipt_time {
+            Some(receipt_time) => self.schedule_slow_request(node, request, receipt_time),
+            None => self.deliver_request(node, true, request),
+        }
     }
 
     /// Closes an inbound connection from the controller's side, which aborts the
@@ -352,16 +359,11 @@
     /// Draws whether a message is delivered a second time, and returns the delay of the
     /// copy.
     pub(super) fn draw_duplicate_lag(&mut self) -> Option<Duration> {
-        let now = self.now;
-        let one_in = self.faults.iter().find_map(|f| match f {
-            Fault::DuplicateMessages {
-                one_in,
-                from,
-                until,
-            } if (*from..*until).contains(&now) => Some(*one_in),
+        let one_in = self.active_rate(|f| match f {
+            Fault::DuplicateMessages { one_in, .. } => Some(*one_in),
             _ => None,
         })?;
-        let copied = self.rng.u32(0..one_in.max(1)) == 0;
+        let copied = self.rng.u32(0..one_in) == 0;
         copied.then(|| MS * self.rng.u32(30..12_000))
     }
 
--- a/crates/testkit/tests/final_answers.rs
+++ b/crates/testkit/tests/final_answers.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use oliveshift_core::Sabotage;
-use oliveshift_testkit::{Fault, RuleViolation, World};
+use oliveshift_testkit::{
+    Fault, RuleViolation, World, draw_combined_faults, run_seeds_in_parallel,
+};
 
 const S: Duration = Duration::from_secs(1);
 /// How long users submit jobs.
@@ -40,3 +42,27 @@
         assert_eq!(forgotten, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn drawn_days_with_slow_requests() {
+    run_seeds_in_parallel(7400..7424, |seed| {
+        let mut faults = draw_combined_faults(seed, 3, BUSY);
+        faults.push(Fault::SlowRequests {
+            one_in: 3,
+            from: Duration::ZERO,
+            until: BUSY,
+        });
+        let outcome = World::new(seed, BUSY, faults, None).run(BUSY + 240 * S);
+        assert_eq!(outcome.violations, [], "seed {seed}");
+        assert_eq!(outcome.open, [], "seed {seed}");
+        let (arrived, given_up) = outcome.evidence.slow_requests;
+        assert!(arrived > 20 && given_up > 20, "{arrived}, {given_up}");
+    });
+}
+
+#[test]
+fn refusals_without_a_read_are_caught() {
+    let sabotage = Some(Sabotage::StaleVerdicts);
+    let forgotten = (7100..7108).flat_map(|seed| forgotten_with_an_unknown_team(seed, sabotage));
+    assert!(forgotten.count() > 0);
+}
