A complete submission of a workflow is read although its client ends writing

What callers saw, since: a partner that sends a whole submission and then closes its side for writing was answered 408, and nothing was executed.

Cause: a fix at the wrong depth. Controllers pass over requests whose clients have closed the connection, as they would not catch up otherwise. That check came along into receive_body, which the workflow service uses too. It is the controllers' server's own again, and does there what it did.

The new test failed on (408) and passes now; the tests of requests and of the program pass.

--- a/crates/daemon/src/request_reader.rs
+++ b/crates/daemon/src/request_reader.rs
@@ -111,11 +111,6 @@
     if bytes.len() > max_bytes || (stream.is_budget_spent() && !has_ended) {
         return Err(incomplete(ReceiptError::TooLarge, bytes.len()));
     }
-    if stream.is_closed() {
-        // A controller with a backlog that answered abandoned requests would not catch up, since
-        // their clients send them again.
-        return Err(incomplete(ReceiptError::Closed, bytes.len()));
-    }
     if !has_ended {
         let error = match stream.is_receipt_overdue() {
             true => ReceiptError::Late,
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -9,7 +9,8 @@
     Error, Method as HttpMethod, Request as HttpRequest, Response, StatusCode, headers,
 };
 use oliveshift_core::{
-    ClientKind, Listener, Method, Request, SocketId, client_timeouts::head_timeout, is_report,
+    ClientKind, CompleteBody, Listener, Method, Request, SocketId, client_timeouts::head_timeout,
+    is_report,
 };
 use oliveshift_wire::{codec::MAX_BODY_BYTES, encode, job::Refusal};
 
@@ -135,7 +136,7 @@
     let timeout = client.receive_timeout();
     let received = receive_body(stream, &mut request, MAX_BODY_BYTES, timeout).await;
     drop(arriving);
-    let body = match received {
+    let body = match unless_closed(stream, received) {
         Ok(body) => body,
         Err(incomplete) => return reject_incomplete(runtime, stream, incomplete, path),
     };
@@ -173,6 +174,27 @@
     Ok(response)
 }
 
+/// What was received, unless the client has closed the connection since. A controller with a
+/// backlog that answered abandoned requests would not catch up, since their clients send them
+/// again.
+fn unless_closed(
+    stream: &Stream,
+    body: Result<CompleteBody, IncompleteBody>,
+) -> Result<CompleteBody, IncompleteBody> {
+    if !stream.is_closed() {
+        return body;
+    }
+    let (received, announced) = match &body {
+        Ok(body) => (body.len(), Some(body.len())),
+        Err(incomplete) => (incomplete.received, incomplete.announced),
+    };
+    Err(IncompleteBody {
+        error: ReceiptError::Closed,
+        received,
+        announced,
+    })
+}
+
 /// Rejects a request that was not received completely; the connection cannot be reused after
 /// that.
 fn reject_incomplete(
--- a/crates/daemon/tests/workflows.rs
+++ b/crates/daemon/tests/workflows.rs
@@ -879,6 +879,27 @@
     assert!(err.contains("not an idempotency key"), "{err}");
 }
 
+#[test]
+fn a_complete_submission_whose_client_ends_writing_is_read() {
+    let services = start_services("half-closed", None);
+    let instance = start_instance(&services, "half-closed");
+    let mut stream = TcpStream::connect(instance.addr).expect("a connection");
+    let body =
+        "--zz\r\ncontent-disposition: form-data; name=\"workflow_type\"\r\n\r\nCWL\r\n--zz--\r\n";
+    let request = format!(
+        "POST /ga4gh/wes/v1/runs HTTP/1.1\r\nhost: x\r\n\
+         content-type: multipart/form-data; boundary=zz\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).expect("sent");
+    stream.shutdown(Shutdown::Write).expect("half-closed");
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    // It was read to its end: what it lacks is named.
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("workflow_type_version"), "{answer}");
+}
+
 #[test]
 fn a_submission_that_did_not_arrive_completely_is_not_called_malformed() {
     let services = start_services("incomplete", None);
