--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod cwl;
 mod executor;
 mod logging;
+mod receipt_budget;
 mod request_reader;
 mod runtime;
 mod server;
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -13,13 +13,17 @@
 use async_io::{Timer, block_on};
 use futures_lite::future::yield_now;
 use oliveshift_core::{
-    Answer, Call, Close, ConnId, Controller, IncompleteRequest, Input, Listener, Now, Output,
-    Reply, Request, SocketId, Target,
+    Answer, Call, ClientKind, Close, ConnId, Controller, IncompleteRequest, Input, Listener, Now,
+    Output, Reply, Request, SocketId, Target,
 };
 use oliveshift_wire::settings::Settings;
 
 use crate::{
-    client::Client, connection_task::ConnectionTask, executor::PriorityExecutor, server, stream,
+    client::Client,
+    connection_task::ConnectionTask,
+    executor::PriorityExecutor,
+    receipt_budget::{ArrivingBody, ReceiptBudget},
+    server, stream,
 };
 
 /// Interval of the ticks passed to the state machine.
@@ -33,6 +37,7 @@
     controller: RefCell<Controller>,
     client: Client,
     started: Instant,
+    receipt_budget: ReceiptBudget,
     pending_answers: RefCell<HashMap<ConnId, Sender<Answer>>>,
     next_conn: Cell<ConnId>,
     /// The task that serves each inbound connection; dropping it closes the connection.
@@ -80,6 +85,7 @@
         executor: PriorityExecutor::default(),
         client: Client::default(),
         started: Instant::now(),
+        receipt_budget: ReceiptBudget::default(),
         pending_answers: RefCell::default(),
         next_conn: Cell::new(0),
         connection_tasks: RefCell::default(),
@@ -286,6 +292,31 @@
         conn
     }
 
+    /// Counts a body of up to `bytes` until the result is dropped, and closes the connections
+    /// whose bodies no longer fit into the budget.
+    pub fn body_arriving(
+        self: &Rc<Self>,
+        client: ClientKind,
+        id: SocketId,
+        bytes: usize,
+    ) -> ArrivingBody<'_> {
+        let (arriving, given_up) = self.receipt_budget.begin(client, id, bytes);
+        for id in given_up {
+            let task = self.connection_tasks.borrow_mut().remove(&id);
+            drop(task);
+            self.handle_input(Input::Closed(id));
+            self.request_incomplete(IncompleteRequest {
+                path: None,
+                received: 0,
+                announced: None,
+                receipt_time: Duration::ZERO,
+                status: None,
+                reason: "too many bodies are arriving, and this one was the oldest",
+            });
+        }
+        arriving
+    }
+
     /// Reports a request that was given up before it was received completely.
     pub fn request_incomplete(self: &Rc<Self>, request: IncompleteRequest) {
         self.handle_input(Input::IncompleteRequest(request));
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -129,8 +129,13 @@
         _ => Method::Other,
     };
     let path = request.url().path().to_owned();
-    let timeout = ClientKind::of(listener, method, &path).receive_timeout();
-    let body = match receive_body(stream, &mut request, MAX_BODY_BYTES, timeout).await {
+    let client = ClientKind::of(listener, method, &path);
+    let announced = request.len().unwrap_or(MAX_BODY_BYTES).min(MAX_BODY_BYTES);
+    let arriving = runtime.body_arriving(client, id, announced);
+    let timeout = client.receive_timeout();
+    let received = receive_body(stream, &mut request, MAX_BODY_BYTES, timeout).await;
+    drop(arriving);
+    let body = match received {
         Ok(body) => body,
         Err(incomplete) => return reject_incomplete(runtime, stream, incomplete, path),
     };
--- a/crates/daemon/tests/requests/deployment.rs
+++ b/crates/daemon/tests/requests/deployment.rs
@@ -105,6 +105,17 @@
         std::fs::read_to_string(path).unwrap_or_default()
     }
 
+    /// The most memory that a controller has had, in KiB.
+    pub fn peak_memory_kib(&self, controller: usize) -> u64 {
+        let path = format!("/proc/{}/status", self.controllers[controller].id());
+        let status = std::fs::read_to_string(path).expect("the controller runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number
+            .and_then(|n| n.parse().ok())
+            .expect("a number of KiB")
+    }
+
     /// Whether all controllers are still running.
     pub fn is_running(&mut self) -> bool {
         let mut controllers = self.controllers.iter_mut();
--- a/crates/daemon/tests/requests/main.rs
+++ b/crates/daemon/tests/requests/main.rs
@@ -3,4 +3,5 @@
 mod delivery;
 mod deployment;
 mod http;
+mod slow_clients;
 mod submissions;
