--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -5,7 +5,6 @@
 use crate::{
     mp::V,
     site::{CloudMode, Config, SharedSite, Site, ZONE, job},
-    state::Mode,
 };
 
 const BROKEN: i32 = 1;
@@ -16,7 +15,7 @@
     match case {
         "machine-back" => machine_back(trouble),
         "drained" => drained(trouble),
-        "stale-run" => stale_run(trouble),
+        "late-start" => late_start(trouble),
         "failing-step" => failing_step(trouble),
         "sweep" => sweep(trouble),
         _ => NOT_RUN,
@@ -243,68 +242,6 @@
     *site.default_run_s.lock().unwrap() = Some(run_s);
 }
 
-/// An instance loses the state service alone; its run goes on elsewhere and ends.
-fn stale_run(trouble: bool) -> i32 {
-    let config = Config {
-        zones: vec!["bandung-hall", "surabaya-hub"],
-        machines: vec!["bandung-hall"],
-        report_s: 2.5,
-        lease_s: 16.0,
-        cancel_s: 41.0,
-        value_kb: 16.0,
-        txn_ops: 20,
-        ..Config::default()
-    };
-    let Some(site) = begin(config) else {
-        return NOT_RUN;
-    };
-    agent(&site, 15.0, |_| {
-        r#"{"code":0,"left":[],"texts":{}}"#.to_owned()
-    });
-    site.start_instance("wf-0");
-    site.start_instance("wf-1");
-    std::thread::sleep(Duration::from_secs(8));
-    let Some(run) = start_run(&site, 0, ONE_STEP, "{}") else {
-        return end(&site, NOT_RUN, "no run was accepted");
-    };
-    if !site.wait(site.t() + 20.0, || {
-        run_state(&site, 0, &run).as_deref() == Some("RUNNING") && !site.on_machines().is_empty()
-    }) {
-        return end(&site, NOT_RUN, "the run did not start");
-    }
-    let cut_at = site.t();
-    if trouble {
-        let client = site.instances.lock().unwrap()[0].state_client;
-        site.note("wf-0 loses the state service, and nothing else");
-        site.state.set_mode(client, Mode::Cut);
-    }
-    let done = site.wait(cut_at + 44.0, || {
-        std::thread::sleep(Duration::from_millis(900));
-        run_state(&site, 1, &run).as_deref() == Some("COMPLETE")
-    });
-    if !done {
-        return end(
-            &site,
-            NOT_RUN,
-            "the other instance did not call the run complete",
-        );
-    }
-    let mut older = Vec::new();
-    for _ in 0..5 {
-        if let Some(state) = run_state(&site, 0, &run).filter(|s| s != "COMPLETE") {
-            older.push(state);
-        }
-    }
-    let still = site.t() - cut_at;
-    if older.is_empty() {
-        return end(&site, HELD, "both instances call the run complete");
-    }
-    let text = format!(
-        "wf-1 called the run COMPLETE, then wf-0 called it {older:?}, {still:.0} s after the cut"
-    );
-    end(&site, BROKEN, &text)
-}
-
 const THREE_STEPS: &str = r#"cwlVersion: v1.2
 class: Workflow
 requirements:
@@ -506,3 +443,57 @@
         &text,
     )
 }
+
+/// A machine does not hear for some seconds, in which a job is handed in and called off.
+fn late_start(trouble: bool) -> i32 {
+    let Some(site) = begin(Config::default()) else {
+        return NOT_RUN;
+    };
+    // An earlier job of the same image, so that the machine has it.
+    let (before, uid) = ("j-000416", "j-000417");
+    if !site.submit(&job(before, "array", 1, 2.0, 4.0, 2.0), Some(2.0))
+        || !site.wait(site.t() + 20.0, || {
+            std::thread::sleep(Duration::from_millis(400));
+            site.phase(before) == "done"
+        })
+    {
+        return end(&site, NOT_RUN, "the first job was not done");
+    }
+    let forgotten = || {
+        site.workers()
+            .iter()
+            .all(|w| w.lock().unwrap().tasks.is_empty())
+    };
+    if !site.wait(site.t() + 10.0, forgotten) {
+        return end(&site, NOT_RUN, "the first job was not forgotten");
+    }
+    // Right after a report, so that the next one comes after the cancellation.
+    let ticks = || {
+        site.workers()
+            .iter()
+            .map(|w| w.lock().unwrap().tick)
+            .sum::<u64>()
+    };
+    let before = ticks();
+    site.wait(site.t() + 10.0, || ticks() > before);
+    std::thread::sleep(Duration::from_millis(100));
+    if trouble {
+        site.deafen(2.0);
+    }
+    if !site.submit(&job(uid, "array", 1, 2.0, 4.0, 60.0), Some(60.0)) {
+        return end(&site, NOT_RUN, "the job was not accepted");
+    }
+    std::thread::sleep(Duration::from_millis(700));
+    let path = format!("/work/{uid}/abort");
+    let Some((_, said)) = site.user("POST", &path, &[], 5.0, |s| s == 200) else {
+        return end(&site, NOT_RUN, "the cancellation was not answered");
+    };
+    if said.get("phase").str() != "cancelled" {
+        return end(&site, NOT_RUN, "the job was not cancelled");
+    }
+    let (told_at, by_then) = (site.t(), starts(&site, uid));
+    site.sleep_until(told_at + 30.0);
+    let later = starts(&site, uid) - by_then;
+    let text = format!("{later} starts of the job after its user was told that it is cancelled");
+    end(&site, if later > 0 { BROKEN } else { HELD }, &text)
+}
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -91,10 +91,18 @@
     images: BTreeSet<String>,
     pub gone: bool,
     hurry: bool,
+    /// Answers and direct commands are lost until then.
+    deaf_until: Option<Instant>,
     /// Grows when the machine starts anew: what was in flight before is lost.
     boot: u64,
 }
 
+impl Worker {
+    fn is_deaf(&self) -> bool {
+        self.deaf_until.is_some_and(|until| Instant::now() < until)
+    }
+}
+
 /// A start or an end of a task, as its machine saw it.
 #[derive(Clone, Debug)]
 pub struct Event {
@@ -133,7 +141,6 @@
 pub struct Instance {
     pub name: String,
     pub listen: SocketAddr,
-    pub state_client: usize,
     child: Option<Child>,
 }
 
@@ -251,7 +258,7 @@
             .collect();
         let cloud = self.cloud_addr.lock().unwrap().expect("the cloud");
         for i in 0..n {
-            let (_, state) = self.state.address();
+            let state = self.state.address();
             let members: Vec<V> = (0..n)
                 .filter(|j| *j != i)
                 .map(|j| {
@@ -414,7 +421,7 @@
     /// Starts an instance of the workflow service with the settings of `deploy/workflows.toml`,
     /// apart from names and addresses.
     pub fn start_instance(self: &Arc<Site>, name: &str) -> usize {
-        let (state_client, state) = self.state.address();
+        let state = self.state.address();
         let site = self.clone();
         let balancer = http::serve(Arc::new(move |req| balance(&site, &req)));
         let listen = http::free_port();
@@ -451,7 +458,6 @@
         instances.push(Instance {
             name: name.to_owned(),
             listen,
-            state_client,
             child: Some(child),
         });
         instances.len() - 1
@@ -667,6 +673,17 @@
         }
     }
 
+    /// The reports of all machines arrive; answers and direct commands to them are lost.
+    pub fn deafen(&self, for_s: f64) {
+        self.note(&format!(
+            "answers and commands to the machines are lost for {for_s} s"
+        ));
+        for worker in self.workers() {
+            worker.lock().unwrap().deaf_until =
+                Some(Instant::now() + Duration::from_secs_f64(for_s));
+        }
+    }
+
     fn event(&self, w: &Worker, t: &Task, what: &str) {
         self.note(&format!(
             "{}: {} try {}: {what}",
@@ -913,6 +930,7 @@
         images: BTreeSet::new(),
         gone: false,
         hurry: true,
+        deaf_until: None,
         boot: 0,
     }));
     let (for_orders, of) = (site.clone(), worker.clone());
@@ -1033,6 +1051,17 @@
     if w.gone {
         return Resp::Close;
     }
+    if w.is_deaf() {
+        if !req.body.is_empty() {
+            let orders = V::decode(&req.body).unwrap_or(V::Nil);
+            site.note(&format!(
+                "{}: lost on the way: {}",
+                w.host,
+                orders.get("orders").json()
+            ));
+        }
+        return Resp::Close;
+    }
     advance(site, &mut w);
     match (req.method.as_str(), req.path.as_str()) {
         ("GET", "/inspect") => answer(200, report(&mut w)),
@@ -1166,6 +1195,11 @@
         if w.boot != boot {
             continue;
         }
+        let got = if w.is_deaf() {
+            Err("the answer is lost".to_owned())
+        } else {
+            got
+        };
         let status = got.as_ref().map_or(0, |g| g.status);
         let said = got
             .as_ref()
--- a/review/stand-ins-2/state.rs
+++ b/review/stand-ins-2/state.rs
@@ -13,16 +13,6 @@
     mp::{V, map},
 };
 
-/// How a client of the state service is served.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub enum Mode {
-    Serve,
-    /// Its requests arrive nowhere, and it hears nothing.
-    Cut,
-    /// It gets 503, and its open watches wait.
-    Refuse,
-}
-
 #[derive(Default)]
 struct Inner {
     rev: u64,
@@ -30,7 +20,6 @@
     log: VecDeque<(u64, String, V)>,
     leases: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
-    modes: Vec<Mode>,
 }
 
 pub struct State {
@@ -58,21 +47,10 @@
         state
     }
 
-    /// An address for one client, whose way to the service can be cut.
-    pub fn address(self: &Arc<State>) -> (usize, SocketAddr) {
-        let mut inner = self.inner.lock().unwrap();
-        let client = inner.modes.len();
-        inner.modes.push(Mode::Serve);
+    /// Serves a free port.
+    pub fn address(self: &Arc<State>) -> SocketAddr {
         let state = self.clone();
-        (
-            client,
-            http::serve(Arc::new(move |req| state.handle(client, &req))),
-        )
-    }
-
-    pub fn set_mode(&self, client: usize, mode: Mode) {
-        self.inner.lock().unwrap().modes[client] = mode;
-        self.changed.notify_all();
+        http::serve(Arc::new(move |req| state.handle(&req)))
     }
 
     pub fn get(&self, key: &str) -> Option<V> {
@@ -104,33 +82,7 @@
         }
     }
 
-    fn mode(&self, client: usize) -> Mode {
-        self.inner.lock().unwrap().modes[client]
-    }
-
-    fn handle(&self, client: usize, req: &Req) -> Resp {
-        let mut mode = self.mode(client);
-        if mode == Mode::Cut {
-            // Packets get lost: the client hears nothing until it gives up.
-            let ends = Instant::now() + Duration::from_secs(15);
-            while mode == Mode::Cut && Instant::now() < ends {
-                thread::sleep(Duration::from_millis(50));
-                mode = self.mode(client);
-            }
-            return Resp::Close;
-        }
-        if mode == Mode::Refuse && req.path != "/changes" {
-            return answer(503, map(vec![("error", "down".into())]));
-        }
-        let resp = self.execute(client, req);
-        if self.mode(client) == Mode::Cut {
-            thread::sleep(Duration::from_secs(15));
-            return Resp::Close;
-        }
-        resp
-    }
-
-    fn execute(&self, client: usize, req: &Req) -> Resp {
+    fn handle(&self, req: &Req) -> Resp {
         let parts: Vec<&str> = req.path.trim_start_matches('/').splitn(2, '/').collect();
         match (req.method.as_str(), parts.as_slice()) {
             ("GET", ["kv"]) => self.list(req),
@@ -179,7 +131,7 @@
                 self.changed.notify_all();
                 answer(200, map(vec![]))
             }
-            ("GET", ["changes"]) => self.changes(client, req),
+            ("GET", ["changes"]) => self.changes(req),
             _ => answer(400, map(vec![("error", "no such call".into())])),
         }
     }
@@ -284,15 +236,12 @@
         answer(200, map(vec![("generation", rev.into())]))
     }
 
-    fn changes(&self, client: usize, req: &Req) -> Resp {
+    fn changes(&self, req: &Req) -> Resp {
         let after: u64 = req.q("after").parse().unwrap_or(0);
         let block = Duration::from_millis(req.q("block_ms").parse().unwrap_or(0).min(60_000));
         let prefix = req.q("starts").to_owned();
         let ends = Instant::now() + block;
         let mut inner = self.inner.lock().unwrap();
-        if inner.modes[client] == Mode::Refuse && block.is_zero() {
-            return answer(503, map(vec![("error", "down".into())]));
-        }
         loop {
             if inner.log.front().is_some_and(|(rev, ..)| *rev > after + 1)
                 && inner.log.len() >= 10_000
@@ -306,15 +255,12 @@
                 .collect();
             new.reverse();
             let now = Instant::now();
-            if inner.modes[client] != Mode::Refuse && (!new.is_empty() || now >= ends) {
+            if !new.is_empty() || now >= ends {
                 return answer(
                     200,
                     map(vec![("generation", inner.rev.into()), ("log", new.into())]),
                 );
             }
-            if inner.modes[client] == Mode::Cut {
-                return Resp::Close;
-            }
             let wait = ends
                 .saturating_duration_since(now)
                 .clamp(Duration::from_millis(5), Duration::from_millis(200));
